--- /dev/null
+++ b/src/libs/convert/convert.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "common.pb.h"
+#include "core/error.h"
+#include "core/groupsettings.h"
+#include "core/groupview.h"
+#include "core/instanceinfo.h"
+#include "core/logposition.h"
+#include "operator.pb.h"
+#include "peer.pb.h"
+
+#include <string_view>
+
+namespace papayaspindle {
+
+/** @return the position as a message */
+v1::LogPosition ToMessage(const LogPosition& aPosition);
+/** @return the message as a position */
+LogPosition FromMessage(const v1::LogPosition& aMessage);
+
+/** @return the error's row of the answer table, with its message */
+v1::ErrorInfo ToMessage(const Error& aError);
+/** @return the error; Internal for an unknown kind */
+Error FromMessage(const v1::ErrorInfo& aMessage);
+/** @return the execution as a message value */
+v1::Execution ToMessage(Execution aExecution);
+
+/** @return the settings as a message */
+v1::GroupSettings ToMessage(const GroupSettings& aSettings);
+/** @return the message as settings */
+GroupSettings FromMessage(const v1::GroupSettings& aMessage);
+
+/** @return the view as a message */
+v1::GroupView ToMessage(const GroupView& aView);
+/** @return the message as a view */
+GroupView FromMessage(const v1::GroupView& aMessage);
+
+/** @return the instance as a message */
+v1::InstanceUpdate ToMessage(const InstanceInfo& aInfo);
+/** @return the message as an instance */
+InstanceInfo FromMessage(const v1::InstanceUpdate& aMessage);
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/core/error.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/errorkind.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace papayaspindle {
+
+/** A typed error with a message for people. */
+struct Error
+{
+  ErrorKind mKind = ErrorKind::Internal;
+  std::string mMessage;
+};
+
+/** A value or an error. */
+template<typename Value>
+using Result = std::variant<Value, Error>;
+
+/** The value of a call that returns nothing but success. */
+struct Done
+{};
+
+using Status = Result<Done>;
+
+/**
+ * @param aResult a result
+ * @return whether it holds a value
+ */
+template<typename Value>
+[[nodiscard]] bool
+IsOk(const Result<Value>& aResult)
+{
+  return aResult.index() == 0;
+}
+
+/**
+ * @param aResult a result that holds a value
+ * @return the value
+ */
+template<typename Value>
+[[nodiscard]] const Value&
+ValueOf(const Result<Value>& aResult)
+{
+  return std::get<0>(aResult);
+}
+
+/** @copydoc ValueOf */
+template<typename Value>
+[[nodiscard]] Value&
+ValueOf(Result<Value>& aResult)
+{
+  return std::get<0>(aResult);
+}
+
+/**
+ * @param aResult a result that holds an error
+ * @return the error
+ */
+template<typename Value>
+[[nodiscard]] const Error&
+ErrorOf(const Result<Value>& aResult)
+{
+  return std::get<1>(aResult);
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/runtime/grouptable.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "interfaces/groups.h"
+
+#include <map>
+#include <shared_mutex>
+
+namespace papayaspindle {
+
+/**
+ * The shared table of database groups.
+ *
+ * Lock order: this table's lock is a leaf; no other lock is taken while it is held.
+ */
+class GroupTable : public Groups
+{
+public:
+  [[nodiscard]] std::vector<GroupId> Names() const override;
+  [[nodiscard]] std::optional<GroupSettings> Settings(
+    const GroupId& aGroup) const override;
+  [[nodiscard]] GroupView View(const GroupId& aGroup) const override;
+  bool OfferView(const GroupView& aView) override;
+  bool OfferSettings(const GroupSettings& aSettings) override;
+
+private:
+  mutable std::shared_mutex mMutex;
+  std::map<GroupId, GroupSettings> mSettings;
+  std::map<GroupId, GroupView> mViews;
+};
+
+} // namespace papayaspindle
