Add the acknowledgement tracker for writes and primary reads

Cause: a primary's answer alone does not prove that a write survives a failover. Change: AckTracker counts reports of the position's own term at or past the position. Target() names what to prove for an answer that refers to an entry of an older term: a repeated write, or a read right after a promotion. Conclusion: statement code can build on it. A read right after a promotion is provable only once the new primary has appended an entry of its own term.

--- /dev/null
+++ b/src/libs/decision/write/acktracker.cpp
@@ -0,0 +1,58 @@
+#include "decision/write/acktracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaspindle {
+
+AckTracker::AckTracker(MemberId aPrimary,
+                       const LogPosition& aPosition,
+                       std::size_t aMemberCount)
+  : mPrimary(std::move(aPrimary))
+  , mPosition(aPosition)
+  , mNeededOthers(aMemberCount / 2)
+{
+}
+
+LogPosition
+AckTracker::Target(const LogPosition& aAnswered, std::uint64_t aTerm)
+{
+  return std::max(aAnswered, LogPosition{ aTerm, 1 });
+}
+
+void
+AckTracker::OnReport(const MemberReport& aReport)
+{
+  const bool sameTerm = aReport.mTerm == mPosition.mTerm;
+  if (aReport.mMember == mPrimary || !sameTerm || aReport.mPosition < mPosition) {
+    return;
+  }
+  const auto [holder, isNew] = mHolders.try_emplace(aReport.mMember, aReport.mAskedAt);
+  if (!isNew) {
+    holder->second = std::max(holder->second, aReport.mAskedAt);
+  }
+}
+
+bool
+AckTracker::IsAcknowledged() const
+{
+  return mHolders.size() >= mNeededOthers;
+}
+
+bool
+AckTracker::IsConfirmedSince(TimePoint aSince) const
+{
+  const auto recent =
+    std::count_if(mHolders.begin(), mHolders.end(), [&](const auto& aHolder) {
+      return aHolder.second >= aSince;
+    });
+  return static_cast<std::size_t>(recent) >= mNeededOthers;
+}
+
+const LogPosition&
+AckTracker::Position() const
+{
+  return mPosition;
+}
+
+} // namespace papayaspindle
