Add the retry policy and the outcome of a request id

Cause: after a lost answer, sending again may run a write twice, and "not run" may be untrue. Change: RetryPolicy allows another attempt only for reads, protected writes and attempts that certainly did not run; one lost answer keeps the outcome unknown. DecideOutcome states "ran" or "not run" only from a majority of one term that holds an entry of that term; "not run" also needs that term to be above every term in which the write may have been sent. Conclusion: an outcome that is stated can no longer be changed by a late send or a later failover.

--- /dev/null
+++ b/src/libs/decision/write/requestoutcome.cpp
@@ -0,0 +1,60 @@
+#include "decision/write/requestoutcome.h"
+
+#include <set>
+
+namespace papayaspindle {
+
+namespace {
+
+/** Members that prove one of the two answers in one term. */
+struct Votes
+{
+  std::set<MemberId> mFound;
+  std::set<MemberId> mAbsent;
+  const FindRequestReport* mWrite = nullptr;
+};
+
+Votes
+VotesOf(std::uint64_t aTerm, std::span<const FindRequestReport> aReports)
+{
+  Votes votes;
+  for (const FindRequestReport& report : aReports) {
+    if (report.mTerm != aTerm || report.mLast.mTerm != aTerm) {
+      continue;
+    }
+    if (!report.mFound) {
+      votes.mAbsent.insert(report.mMember);
+      continue;
+    }
+    votes.mFound.insert(report.mMember);
+    votes.mWrite = &report;
+  }
+  return votes;
+}
+
+} // namespace
+
+RequestOutcome
+DecideOutcome(std::optional<std::uint64_t> aHighestSentTerm,
+              std::size_t aMemberCount,
+              std::span<const FindRequestReport> aReports)
+{
+  const std::size_t majority = aMemberCount / 2 + 1;
+  std::set<std::uint64_t> terms;
+  for (const FindRequestReport& report : aReports) {
+    terms.insert(report.mTerm);
+  }
+  for (const std::uint64_t term : terms) {
+    const Votes votes = VotesOf(term, aReports);
+    if (votes.mFound.size() >= majority) {
+      return { Execution::Ran, votes.mWrite->mPosition, votes.mWrite->mAffected };
+    }
+    const bool sendsAreOver = aHighestSentTerm && term > *aHighestSentTerm;
+    if (sendsAreOver && votes.mFound.empty() && votes.mAbsent.size() >= majority) {
+      return { Execution::NotRun, {}, 0 };
+    }
+  }
+  return {};
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/decision/write/retrypolicy.cpp
@@ -0,0 +1,89 @@
+#include "decision/write/retrypolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaspindle {
+
+std::optional<SendKnowledge>
+KnowledgeOf(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::MemberUnreachable:
+    case ErrorKind::PeerUnreachable:
+    case ErrorKind::NoPrimary:
+    case ErrorKind::NoFreshReplica:
+      return SendKnowledge::NothingSent;
+    case ErrorKind::StaleTerm:
+    case ErrorKind::TransactionAborted:
+      return SendKnowledge::RefusedBeforeRun;
+    case ErrorKind::OutcomeUnknown:
+      return SendKnowledge::MaybeSent;
+    default:
+      return std::nullopt;
+  }
+}
+
+RetryPolicy::RetryPolicy(RequestClass aClass,
+                         TimePoint aDeadline,
+                         const RetrySettings& aSettings,
+                         RandomHook aRandom)
+  : mClass(aClass)
+  , mDeadline(aDeadline)
+  , mSettings(aSettings)
+  , mRandom(std::move(aRandom))
+{
+}
+
+RetryDecision
+RetryPolicy::OnFailure(SendKnowledge aKnowledge, TimePoint aNow)
+{
+  ++mAttempts;
+  mMaybeSent = mMaybeSent || aKnowledge == SendKnowledge::MaybeSent;
+  RetryDecision decision;
+  decision.mExecution = ExecutionSoFar();
+  if (!MayRepeat() || mAttempts >= mSettings.mMaxAttempts) {
+    return decision;
+  }
+  decision.mAfter = NextPause();
+  decision.mAgain = aNow + decision.mAfter + mSettings.mLeastAttempt <= mDeadline;
+  return decision;
+}
+
+Execution
+RetryPolicy::ExecutionSoFar() const
+{
+  // The end of the connection rolls an uncommitted transaction back.
+  const bool certain = !mMaybeSent || mClass == RequestClass::TransactionStatement;
+  return certain ? Execution::NotRun : Execution::Unknown;
+}
+
+bool
+RetryPolicy::MayRepeat() const
+{
+  switch (mClass) {
+    case RequestClass::Read:
+    case RequestClass::WriteWithId:
+      return true;
+    case RequestClass::WriteWithoutId:
+      return !mMaybeSent;
+    case RequestClass::TransactionStatement:
+    case RequestClass::Commit:
+      return false;
+  }
+  return false;
+}
+
+Duration
+RetryPolicy::NextPause()
+{
+  constexpr std::uint32_t kMaxDoublings = 16;
+  const std::uint32_t doublings = std::min(mAttempts - 1, kMaxDoublings);
+  const Duration full = std::min<Duration>(mSettings.mFirstPause * (1U << doublings),
+                                           mSettings.mLongestPause);
+  const Duration half = full / 2;
+  const auto spread = static_cast<std::uint64_t>((full - half).count()) + 1;
+  return half + Duration(static_cast<Duration::rep>(mRandom() % spread));
+}
+
+} // namespace papayaspindle
