--- /dev/null
+++ b/src/libs/decision/routing/stablehash.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string_view>
+
+namespace papayaspindle {
+
+/**
+ * A 64-bit hash of fixed definition, equal in every process and version: FNV-1a over each
+ * part and its length, then the finalizer of splitmix64.
+ *
+ * @param aParts hashed in order; their borders count
+ */
+[[nodiscard]] std::uint64_t StableHash(std::initializer_list<std::string_view> aParts);
+
+} // namespace papayaspindle
--- /dev/null
+++ b/tests/auto/routing/tst_homeranking.cpp
@@ -0,0 +1,138 @@
+#include "decision/routing/homeranking.h"
+#include "decision/routing/stablehash.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+
+using namespace papayaspindle;
+
+namespace {
+
+GroupSettings
+Group(const std::string& aName, std::uint32_t aLimit, std::vector<std::string> aZones)
+{
+  GroupSettings group{ GroupId(aName), {}, 2, aLimit, {}, 1 };
+  for (const auto& zone : aZones) {
+    group.mMembers.push_back(
+      { MemberId(aName + "-" + zone), "127.0.0.1:1", AvailabilityZone(zone), false });
+  }
+  return group;
+}
+
+std::vector<InstanceInfo>
+Live(std::size_t aCount, const std::vector<std::string>& aZones)
+{
+  std::vector<InstanceInfo> live;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    live.push_back({ InstanceId(fmt::format("entry-{}", i)),
+                     AvailabilityZone(aZones[i % aZones.size()]) });
+  }
+  return live;
+}
+
+} // namespace
+
+// Guards against homes that differ between versions or platforms.
+TEST_CASE("the hash has a fixed definition")
+{
+  CHECK(StableHash({}) == 0xf52a15e9a9b5e89bULL);
+  CHECK(StableHash({ "pond-1", "entry-0" }) == 0xba2a9ae4015e6a20ULL);
+  CHECK(StableHash({ "pond-1", "entry-0" }) != StableHash({ "pond-1e", "ntry-0" }));
+}
+
+// Guards against too few or too many homes, and zones without one.
+TEST_CASE("the number of homes follows the connection limit and spreads over zones")
+{
+  const struct
+  {
+    const char* mName;
+    std::uint32_t mLimit;
+    std::vector<std::string> mMemberZones;
+    std::size_t mLive;
+    std::vector<std::string> mLiveZones;
+    std::size_t mHomes;
+    std::size_t mZones;
+  } rows[] = {
+    { "pond-core", 16, { "a", "b", "c" }, 6, { "a", "b", "c" }, 4, 3 },
+    { "crier-db", 35, { "a", "b", "c" }, 7, { "a", "b", "c" }, 7, 3 },
+    { "fourth zone without members",
+      35,
+      { "a", "b", "c" },
+      8,
+      { "a", "b", "c", "d" },
+      6,
+      3 },
+    { "low limit", 4, { "a", "b", "c" }, 6, { "a", "b", "c" }, 2, 2 },
+    { "one live instance", 16, { "a", "b", "c" }, 1, { "a" }, 1, 1 },
+    { "no live instance", 16, { "a" }, 0, { "a" }, 0, 0 },
+    { "instances in other zones only", 16, { "x", "y" }, 6, { "a", "b", "c" }, 4, 3 },
+    { "no members", 16, {}, 6, { "a", "b", "c" }, 4, 3 },
+  };
+  for (const auto& row : rows) {
+    INFO(row.mName);
+    const auto live = Live(row.mLive, row.mLiveZones);
+    const auto homes = HomeRanking().Rank(Group("g", row.mLimit, row.mMemberZones), live);
+    std::set<AvailabilityZone> zones;
+    for (const auto& info : live) {
+      if (std::find(homes.begin(), homes.end(), info.mInstance) != homes.end()) {
+        zones.insert(info.mAvailabilityZone);
+      }
+    }
+    CHECK(homes.size() == row.mHomes);
+    CHECK(zones.size() == row.mZones);
+  }
+}
+
+// Guards against new homes in a zone whose only member leaves, and on leaving instances.
+TEST_CASE("leaving members and instances attract no homes")
+{
+  auto group = Group("g", 64, { "a", "b" });
+  group.mMembers[1].mLeaving = true;
+  auto live = Live(6, { "a", "b" });
+  live[0].mLiveness = Liveness::Leaving;
+  live[2].mLiveness = Liveness::Dead;
+  live[4].mLiveness = Liveness::Suspect;
+  CHECK(HomeRanking().Rank(group, live) == std::vector{ InstanceId("entry-4") });
+}
+
+// Guards against a reshuffle of all homes, with its reconnections, when one instance
+// goes.
+TEST_CASE("an instance that goes moves only its own homes")
+{
+  const auto live = Live(9, { "a", "b", "c" });
+  auto fewer = live;
+  fewer.erase(fewer.begin() + 3);
+  const HomeRanking ranking;
+  for (int i = 0; i < 200; ++i) {
+    const auto group = Group(fmt::format("group-{}", i), 16, { "a", "b", "c" });
+    const auto before = ranking.Rank(group, live);
+    const auto after = ranking.Rank(group, fewer);
+    std::size_t kept = 0;
+    for (const auto& home : before) {
+      kept += std::count(after.begin(), after.end(), home);
+    }
+    const bool held = std::count(before.begin(), before.end(), live[3].mInstance) > 0;
+    // A zone's next best may displace the weakest extra home to keep the zone covered.
+    CHECK(kept >= before.size() - (held ? 2 : 0));
+  }
+}
+
+// Guards against an uneven distribution of homes.
+TEST_CASE("homes are shared in proportion to the weights")
+{
+  const auto live = Live(4, { "a" });
+  const HomeRanking ranking([](const InstanceInfo& aInfo) {
+    return aInfo.mInstance == InstanceId("entry-0") ? 2.0 : 1.0;
+  });
+  std::map<InstanceId, int> firsts;
+  for (int i = 0; i < 5'000; ++i) {
+    const auto group = Group(fmt::format("group-{}", i), 8, { "a" });
+    ++firsts[ranking.Rank(group, live).front()];
+  }
+  CHECK(firsts[InstanceId("entry-0")] > 1'800);
+  CHECK(firsts[InstanceId("entry-0")] < 2'200);
+  CHECK(firsts[InstanceId("entry-1")] > 850);
+}
