Add the decision module for shares of connections

Cause: a group's connections are limited over all instances, also while a zone is cut off, the table service is down or a keeper is paused.

A claim names the epoch of the keeper's authority row; a takeover revokes that row in the same transaction, so a keeper that was paused cannot renew it.

--- /dev/null
+++ b/src/libs/decision/allowance/keeperclaim.cpp
@@ -0,0 +1,44 @@
+#include "decision/allowance/keeperclaim.h"
+
+namespace papayaspindle {
+
+ClaimAction
+DecideClaim(const AllocationRecord& aRecord,
+            const InstanceId& aSelf,
+            std::uint64_t aEpoch,
+            const AuthorityWatcher& aKeeper,
+            TimePoint aNow)
+{
+  if (aRecord.mKeeper.IsEmpty()) {
+    return ClaimAction::Claim;
+  }
+  if (aRecord.mKeeper == aSelf) {
+    // An own claim of an earlier epoch ended when the authority was taken again.
+    return aRecord.mKeeperEpoch == aEpoch ? ClaimAction::Held : ClaimAction::Claim;
+  }
+  if (aKeeper.IsOver(aRecord.mKeeperEpoch)) {
+    return ClaimAction::Claim;
+  }
+  return aKeeper.MayTakeOver(aNow) ? ClaimAction::ClaimAndRevoke : ClaimAction::Wait;
+}
+
+AllocationRecord
+ClaimedBy(const AllocationRecord& aRecord, const InstanceId& aSelf, std::uint64_t aEpoch)
+{
+  AllocationRecord next = aRecord;
+  next.mKeeper = aSelf;
+  next.mKeeperEpoch = aEpoch;
+  ++next.mClaim;
+  return next;
+}
+
+AllocationRecord
+Unclaimed(const AllocationRecord& aRecord)
+{
+  AllocationRecord next = aRecord;
+  next.mKeeper = InstanceId();
+  next.mKeeperEpoch = 0;
+  return next;
+}
+
+} // namespace papayaspindle
