--- a/src/libs/observe/log.h
+++ b/src/libs/observe/log.h
@@ -25,7 +25,7 @@
 };
 
 /**
- * Writes one structured line to standard error: level, time, subsystem, event, fields.
+ * Writes one structured line to standard error: time, level, subsystem, event, fields.
  * Thread-safe.
  *
  * @param aSubsystem for example "failover"; levels are settable for each subsystem
--- /dev/null
+++ b/src/libs/observe/spandata.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "observe/metricregistry.h"
+#include "observe/span.h"
+#include "observe/tracecontext.h"
+#include "observe/tracer.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace papayaspindle {
+
+/** What all spans of one tracer share. */
+struct Tracer::Private
+{
+  std::string mInstance;
+  ExportHook mExport;
+  MetricRegistry* mMetrics = nullptr;
+};
+
+struct Span::Data
+{
+  Tracer::Private* mTracer = nullptr;
+  std::string mName;
+  TraceContext mContext;
+  std::string mParentSpanId;
+  std::chrono::system_clock::time_point mStartWall;
+  std::chrono::steady_clock::time_point mStart;
+  std::vector<std::pair<std::string, std::string>> mAttributes;
+  bool mFailed = false;
+  std::string mErrorMessage;
+
+  /** Records the duration and exports the span. */
+  void End() const;
+
+private:
+  [[nodiscard]] std::string ToJson(std::chrono::nanoseconds aDuration) const;
+};
+
+} // namespace papayaspindle
