--- /dev/null
+++ b/src/app/ctl/ctl.cpp
@@ -0,0 +1,13 @@
+#include "ctl/ctl.h"
+
+#include "commandline/commandline.h"
+
+namespace papayaspindle {
+
+int
+RunCtl(int, char**)
+{
+  return kExitUsage;
+}
+
+} // namespace papayaspindle
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,8 +1,75 @@
+#include "commandline/commandline.h"
+#include "ctl/ctl.h"
+#include "serve/serve.h"
+
 #include <fmt/core.h>
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string_view>
+
+using namespace papayaspindle;
+
+namespace {
+
+int RunVersion(int aArgumentCount, char** aArguments);
+
+/** One verb; its function gets the arguments from the verb on. */
+struct Verb
+{
+  std::string_view mName;
+  std::string_view mExplanation;
+  int (*mRun)(int aArgumentCount, char** aArguments);
+};
+
+constexpr std::array kVerbs{
+  Verb{ "serve", "runs an entry instance", &RunServe },
+  Verb{ "ctl", "calls an entry instance as operator or caller", &RunCtl },
+  Verb{ "version", "prints the version", &RunVersion },
+};
+
+void
+PrintUsage(std::FILE* aFile)
+{
+  fmt::print(aFile, "usage: papayaspindle VERB [ARGUMENTS]; papayaspindle VERB --help\n");
+  for (const Verb& verb : kVerbs) {
+    fmt::print(aFile, "  {:<12} {}\n", verb.mName, verb.mExplanation);
+  }
+}
+
+int
+RunVersion(int aArgumentCount, char** aArguments)
+{
+  if (aArgumentCount > 1 && std::string_view(aArguments[1]) == "--help") {
+    fmt::print("usage: papayaspindle version\nPrints the version.\n");
+    return kExitDone;
+  }
+  fmt::print("papayaspindle {}\n", Version());
+  return kExitDone;
+}
+
+} // namespace
+
 int
-main()
+main(int aArgumentCount, char** aArguments)
 {
-  fmt::print("papayaspindle {}\n", PAPAYASPINDLE_VERSION);
-  return 0;
+  const std::string_view name = aArgumentCount > 1 ? aArguments[1] : "";
+  if (name == "--help" || name == "help") {
+    PrintUsage(stdout);
+    return kExitDone;
+  }
+  if (name == "--version") {
+    return RunVersion(0, nullptr);
+  }
+  const auto* verb = std::find_if(
+    kVerbs.begin(), kVerbs.end(), [&](const Verb& aVerb) { return aVerb.mName == name; });
+  if (verb != kVerbs.end()) {
+    return verb->mRun(aArgumentCount - 1, aArguments + 1);
+  }
+  if (!name.empty()) {
+    fmt::print(stderr, "papayaspindle: unknown verb {}\n", name);
+  }
+  PrintUsage(stderr);
+  return kExitUsage;
 }
--- a/src/libs/observe/randomid.cpp
+++ b/src/libs/observe/randomid.cpp
@@ -11,12 +11,12 @@
 std::uint64_t
 NextRandom()
 {
-  thread_local std::mt19937_64 engine = [] {
+  thread_local std::mt19937_64 sEngine = [] {
     std::random_device device;
     std::seed_seq seed{ device(), device(), device(), device(), device(), device() };
     return std::mt19937_64(seed);
   }();
-  return engine();
+  return sEngine();
 }
 
 } // namespace
