Name routing's member report apart from failover's

Cause: both modules had a MemberStatus in one namespace, which one program must not hold. Change: routing's is MemberProgress; answers of replicas feed the freshness table too. Conclusion: both modules link into one binary.

--- a/src/libs/decision/routing/freshnesstable.cpp
+++ b/src/libs/decision/routing/freshnesstable.cpp
@@ -23,9 +23,9 @@
  * @return the applied position after both replies of one term
  */
 LogPosition
-MergeWithinTerm(const MemberStatus& aOld,
-                const MemberStatus& aNew,
-                LogPosition MemberStatus::*aField)
+MergeWithinTerm(const MemberProgress& aOld,
+                const MemberProgress& aNew,
+                LogPosition MemberProgress::*aField)
 {
   const auto& oldPosition = aOld.*aField;
   const auto& newPosition = aNew.*aField;
@@ -38,7 +38,7 @@
 } // namespace
 
 void
-FreshnessTable::OnStatus(const MemberStatus& aStatus)
+FreshnessTable::OnStatus(const MemberProgress& aStatus)
 {
   auto& member = mMembers[aStatus.mMember];
   auto& status = member.mStatus;
@@ -49,8 +49,8 @@
     status = aStatus;
     member.mProven.reset();
   } else {
-    const auto last = MergeWithinTerm(status, aStatus, &MemberStatus::mLast);
-    const auto applied = MergeWithinTerm(status, aStatus, &MemberStatus::mApplied);
+    const auto last = MergeWithinTerm(status, aStatus, &MemberProgress::mLast);
+    const auto applied = MergeWithinTerm(status, aStatus, &MemberProgress::mApplied);
     const auto askedAt = std::max(status.mAskedAt, aStatus.mAskedAt);
     if (aStatus.mAskedAt >= status.mAskedAt) {
       status = aStatus;
@@ -67,21 +67,11 @@
 }
 
 void
-FreshnessTable::OnPrimaryPosition(const MemberId& aPrimary,
-                                  std::uint64_t aTerm,
-                                  const LogPosition& aPosition,
-                                  TimePoint aAskedAt)
+FreshnessTable::OnAnswer(MemberProgress aAnswer)
 {
-  MemberStatus status;
-  status.mMember = aPrimary;
-  status.mTerm = aTerm;
-  status.mIsPrimary = true;
-  const auto known = StatusOf(aPrimary);
-  status.mIsLeaving = known && known->mIsLeaving;
-  status.mLast = aPosition;
-  status.mApplied = aPosition;
-  status.mAskedAt = aAskedAt;
-  OnStatus(status);
+  const auto known = StatusOf(aAnswer.mMember);
+  aAnswer.mIsLeaving = known && known->mIsLeaving;
+  OnStatus(aAnswer);
 }
 
 void
@@ -102,7 +92,7 @@
   });
 }
 
-std::optional<MemberStatus>
+std::optional<MemberProgress>
 FreshnessTable::StatusOf(const MemberId& aMember) const
 {
   const auto found = mMembers.find(aMember);
@@ -112,10 +102,10 @@
   return found->second.mStatus;
 }
 
-std::vector<MemberStatus>
+std::vector<MemberProgress>
 FreshnessTable::Statuses() const
 {
-  std::vector<MemberStatus> statuses;
+  std::vector<MemberProgress> statuses;
   for (const auto& [id, member] : mMembers) {
     if (!member.mStatus.mMember.IsEmpty()) {
       statuses.push_back(member.mStatus);
--- a/src/libs/decision/routing/freshnesstable.h
+++ b/src/libs/decision/routing/freshnesstable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/groupsettings.h"
-#include "decision/routing/memberstatus.h"
+#include "decision/routing/memberprogress.h"
 
 #include <cstddef>
 #include <deque>
@@ -24,25 +24,23 @@
 {
 public:
   /** Takes a status reply; replies may arrive late and out of order. */
-  void OnStatus(const MemberStatus& aStatus);
+  void OnStatus(const MemberProgress& aStatus);
   /**
-   * Takes a position that the primary of a term gave in an answer.
+   * Takes what a member's answer to a statement says: its term and the position that the
+   * statement wrote or saw.
    *
-   * @param aAskedAt from before the request was sent
+   * @param aAnswer mIsLeaving is not read; answers don't tell
    */
-  void OnPrimaryPosition(const MemberId& aPrimary,
-                         std::uint64_t aTerm,
-                         const LogPosition& aPosition,
-                         TimePoint aAskedAt);
+  void OnAnswer(MemberProgress aAnswer);
   /** Notes how long a replica took to apply a position after the primary answered. */
   void OnCatchUp(const MemberId& aMember, Duration aTook);
   /** Forgets members that the group no longer has. */
   void Retain(const GroupSettings& aSettings);
 
   /** @return the member's last status, or nothing before the first */
-  [[nodiscard]] std::optional<MemberStatus> StatusOf(const MemberId& aMember) const;
+  [[nodiscard]] std::optional<MemberProgress> StatusOf(const MemberId& aMember) const;
   /** @return the last status of each member */
-  [[nodiscard]] std::vector<MemberStatus> Statuses() const;
+  [[nodiscard]] std::vector<MemberProgress> Statuses() const;
   /**
    * @param aTerm the group's term; a member of another term has no age
    * @param aMemberCount members of the group
@@ -70,7 +68,7 @@
 
   struct Member
   {
-    MemberStatus mStatus;
+    MemberProgress mStatus;
     /** Time of the latest sample that the member has applied, in its status's term. */
     std::optional<TimePoint> mProven;
     std::optional<Duration> mCatchUp;
--- a/src/libs/decision/routing/memberstatus.h
+++ b/src/libs/decision/routing/memberprogress.h
@@ -9,7 +9,7 @@
 namespace papayaspindle {
 
 /** A member's status reply, as far as routing needs it. */
-struct MemberStatus
+struct MemberProgress
 {
   MemberId mMember;
   /** The member's own current term. */
--- a/src/libs/decision/routing/readchooser.cpp
+++ b/src/libs/decision/routing/readchooser.cpp
@@ -20,7 +20,7 @@
 std::optional<ServeFromReplica>
 FreshReplica(const ReadQuestion& aQuestion,
              const FreshnessTable& aFreshness,
-             const std::vector<MemberStatus>& aReplicas,
+             const std::vector<MemberProgress>& aReplicas,
              Duration aMaxAge)
 {
   for (const auto& replica : aReplicas) {
@@ -41,7 +41,7 @@
 std::optional<WaitForReplica>
 ReplicaToWaitFor(const ReadQuestion& aQuestion,
                  const FreshnessTable& aFreshness,
-                 const std::vector<MemberStatus>& aReplicas,
+                 const std::vector<MemberProgress>& aReplicas,
                  Duration aMaxAge,
                  Duration aBound)
 {
@@ -109,7 +109,7 @@
                                                     : mSettings.mDefaultMaxStaleness;
 }
 
-std::vector<MemberStatus>
+std::vector<MemberProgress>
 ReadChooser::Replicas(const ReadQuestion& aQuestion,
                       const FreshnessTable& aFreshness) const
 {
@@ -117,7 +117,7 @@
   {
     bool mIsOtherZone;
     std::uint64_t mLoad;
-    MemberStatus mStatus;
+    MemberProgress mStatus;
   };
   std::vector<Ranked> ranked;
   for (const auto& member : aQuestion.mGroup.mMembers) {
@@ -138,7 +138,7 @@
       return std::tie(aLeft.mIsOtherZone, aLeft.mLoad) <
              std::tie(aRight.mIsOtherZone, aRight.mLoad);
     });
-  std::vector<MemberStatus> replicas;
+  std::vector<MemberProgress> replicas;
   for (auto& entry : ranked) {
     replicas.push_back(std::move(entry.mStatus));
   }
--- a/src/libs/decision/routing/readchooser.h
+++ b/src/libs/decision/routing/readchooser.h
@@ -66,7 +66,7 @@
 
 private:
   /** @return the group's usable replicas of the view's term, best first */
-  [[nodiscard]] std::vector<MemberStatus> Replicas(
+  [[nodiscard]] std::vector<MemberProgress> Replicas(
     const ReadQuestion& aQuestion,
     const FreshnessTable& aFreshness) const;
 
--- a/tests/auto/routing/tst_freshnesstable.cpp
+++ b/tests/auto/routing/tst_freshnesstable.cpp
@@ -22,7 +22,7 @@
 Feed(FreshnessTable& aTable, const std::vector<Event>& aEvents)
 {
   for (const auto& event : aEvents) {
-    MemberStatus status;
+    MemberProgress status;
     status.mMember = MemberId(event.mMember);
     status.mTerm = event.mTerm;
     status.mIsPrimary = event.mMember == std::string(event.mTerm == 2 ? "b" : "a");
--- a/tests/auto/routing/tst_readchooser.cpp
+++ b/tests/auto/routing/tst_readchooser.cpp
@@ -183,7 +183,8 @@
     { "one replica follows the new term, the old primary still answers",
       [](Scene& aScene) {
         aScene.mQuestion.mView = { GroupId("g"), 3, kB };
-        aScene.mFreshness.OnPrimaryPosition(kB, 3, { 3, 21 }, kStart + 50ms);
+        aScene.mFreshness.OnAnswer(
+          { kB, 3, true, false, { 3, 21 }, { 3, 21 }, kStart + 50ms });
         aScene.Report(kC, 3, { 3, 21 }, 60ms);
         aScene.Report(kA, kTerm, { 2, 30 }, 90ms);
       },
