Add the membership decision module

Cause: instances must know within seconds which peers live, leave or died, while the platform's list lags. Verdicts count by the zone they come from, so that the end of a partition takes no live instance out of service.

--- /dev/null
+++ b/src/libs/decision/membership/instancetable.cpp
@@ -0,0 +1,372 @@
+#include "decision/membership/instancetable.h"
+
+#include "decision/membership/stablehash.h"
+
+#include <set>
+#include <utility>
+
+namespace papayaspindle {
+
+namespace {
+
+constexpr std::uint64_t kBucketSeed = 1;
+constexpr std::uint64_t kDigestSeed = 2;
+
+int
+RankOf(Liveness aLiveness)
+{
+  switch (aLiveness) {
+    case Liveness::Alive:
+      return 0;
+    case Liveness::Suspect:
+      return 1;
+    case Liveness::Leaving:
+      return 2;
+    case Liveness::Dead:
+      return 3;
+  }
+  return 0;
+}
+
+bool
+Supersedes(const InstanceInfo& aReport, const InstanceInfo& aKnown)
+{
+  if (aReport.mIncarnation != aKnown.mIncarnation) {
+    return aReport.mIncarnation > aKnown.mIncarnation;
+  }
+  return RankOf(aReport.mLiveness) > RankOf(aKnown.mLiveness);
+}
+
+std::size_t
+BucketOf(const InstanceId& aInstance)
+{
+  return StableHash(aInstance.Text(), kBucketSeed) % InstanceTable::kBuckets;
+}
+
+// Suspicions pass within seconds; counting them would make most digests differ.
+std::uint64_t
+DigestOf(const InstanceInfo& aInfo)
+{
+  const std::uint64_t leaving = aInfo.mLiveness == Liveness::Leaving ? 1 : 0;
+  return StableHash(aInfo.mInstance.Text(),
+                    kDigestSeed + aInfo.mIncarnation * 2 + leaving);
+}
+
+bool
+IsVerdict(Liveness aLiveness)
+{
+  return aLiveness == Liveness::Suspect || aLiveness == Liveness::Dead;
+}
+
+bool
+IsLive(const InstanceEntry& aEntry)
+{
+  return aEntry.mHeard && (aEntry.mInfo.mLiveness == Liveness::Alive ||
+                           aEntry.mInfo.mLiveness == Liveness::Suspect);
+}
+
+} // namespace
+
+InstanceTable::InstanceTable(InstanceInfo aSelf, MembershipSettings aSettings)
+  : mSelf(std::move(aSelf))
+  , mSettings(aSettings)
+{
+}
+
+const InstanceEntry*
+InstanceTable::Find(const InstanceId& aInstance) const
+{
+  const auto entry = mEntries.find(aInstance);
+  return entry == mEntries.end() ? nullptr : &entry->second;
+}
+
+bool
+InstanceTable::IsLivePeer(const InstanceId& aInstance) const
+{
+  const InstanceEntry* entry = Find(aInstance);
+  return entry != nullptr && IsLive(*entry);
+}
+
+std::vector<InstanceInfo>
+InstanceTable::Live() const
+{
+  std::vector<InstanceInfo> live;
+  if (mSelf.mLiveness == Liveness::Alive) {
+    live.push_back(mSelf);
+  }
+  for (const auto& [id, entry] : mEntries) {
+    if (IsLive(entry)) {
+      live.push_back(entry.mInfo);
+    }
+  }
+  return live;
+}
+
+std::vector<InstanceInfo>
+InstanceTable::All() const
+{
+  std::vector<InstanceInfo> all{ mSelf };
+  for (const auto& [id, entry] : mEntries) {
+    all.push_back(entry.mInfo);
+    if (!entry.mHeard && entry.mInfo.mLiveness != Liveness::Leaving) {
+      all.back().mLiveness = Liveness::Dead;
+    }
+  }
+  return all;
+}
+
+std::optional<InstanceInfo>
+InstanceTable::ApplyAboutSelf(const InstanceInfo& aReport)
+{
+  if (aReport.mIncarnation < mSelf.mIncarnation || aReport.mLiveness == Liveness::Alive) {
+    return std::nullopt;
+  }
+  // A leaving mark of this incarnation comes from the platform's list; one of a higher
+  // incarnation is left from an earlier process under this name and is refuted.
+  const bool sameProcess = aReport.mIncarnation == mSelf.mIncarnation;
+  if (aReport.mLiveness == Liveness::Leaving && sameProcess) {
+    if (mSelf.mLiveness == Liveness::Leaving) {
+      return std::nullopt;
+    }
+    return MarkSelfLeaving();
+  }
+  mSelf.mIncarnation = aReport.mIncarnation + 1;
+  return mSelf;
+}
+
+std::optional<InstanceInfo>
+InstanceTable::Apply(const InstanceInfo& aReport,
+                     const AvailabilityZone& aFromZone,
+                     TimePoint aNow)
+{
+  if (aReport.mInstance == mSelf.mInstance) {
+    return ApplyAboutSelf(aReport);
+  }
+  const auto known = mEntries.find(aReport.mInstance);
+  const bool heard = known != mEntries.end() && known->second.mHeard;
+  // The death of an instance that was never live here changes nothing, and taking it
+  // would keep dead entries going round for ever.
+  if (!heard && aReport.mLiveness == Liveness::Dead) {
+    return std::nullopt;
+  }
+  InstanceInfo report = aReport;
+  const bool foreign = aFromZone != mSelf.mAvailabilityZone;
+  if (foreign && IsVerdict(report.mLiveness)) {
+    if (report.mAvailabilityZone == mSelf.mAvailabilityZone) {
+      report.mLiveness = Liveness::Suspect;
+    } else if (report.mAvailabilityZone != aFromZone) {
+      return std::nullopt;
+    }
+  }
+  InstanceEntry& entry = mEntries[report.mInstance];
+  if (!heard && entry.mListedLeaving && report.mLiveness == Liveness::Alive) {
+    report.mLiveness = Liveness::Leaving;
+  }
+  if (heard && !Supersedes(report, entry.mInfo)) {
+    return std::nullopt;
+  }
+  const bool dead = report.mLiveness == Liveness::Dead;
+  const bool newer = report.mIncarnation > entry.mInfo.mIncarnation;
+  entry.mInfo = std::move(report);
+  entry.mHeard = true;
+  entry.mSilentHere = entry.mSilentHere && !newer && !dead;
+  entry.mSince = aNow;
+  return entry.mInfo;
+}
+
+std::optional<InstanceInfo>
+InstanceTable::ApplyEntry(const InstanceInfo& aEntry,
+                          const AvailabilityZone& aFromZone,
+                          TimePoint aNow)
+{
+  if (aEntry.mLiveness != Liveness::Dead || aEntry.mInstance == mSelf.mInstance) {
+    return Apply(aEntry, aFromZone, aNow);
+  }
+  if (!IsLivePeer(aEntry.mInstance)) {
+    return std::nullopt;
+  }
+  InstanceInfo suspected = aEntry;
+  suspected.mLiveness = Liveness::Suspect;
+  return Apply(suspected, aFromZone, aNow);
+}
+
+void
+InstanceTable::ForgetDeaths()
+{
+  std::erase_if(mEntries, [](const auto& aPair) {
+    return aPair.second.mInfo.mLiveness == Liveness::Dead && !aPair.second.mListed;
+  });
+  for (auto& [id, entry] : mEntries) {
+    if (entry.mInfo.mLiveness == Liveness::Dead) {
+      entry.mHeard = false;
+      entry.mInfo.mLiveness = Liveness::Alive;
+      entry.mInfo.mIncarnation = 0;
+    }
+  }
+}
+
+std::optional<InstanceInfo>
+InstanceTable::NoteHeard(const InstanceInfo& aInstance, TimePoint aNow)
+{
+  if (aInstance.mInstance == mSelf.mInstance) {
+    return std::nullopt;
+  }
+  std::optional<InstanceInfo> changed =
+    Apply(aInstance, aInstance.mAvailabilityZone, aNow);
+  const auto entry = mEntries.find(aInstance.mInstance);
+  if (entry != mEntries.end() && entry->second.mSilentHere) {
+    entry->second.mSilentHere = false;
+    entry->second.mSince = aNow;
+  }
+  return changed;
+}
+
+std::optional<InstanceInfo>
+InstanceTable::NoteSilent(const InstanceId& aInstance, TimePoint aNow)
+{
+  const auto found = mEntries.find(aInstance);
+  if (found == mEntries.end() || !found->second.mHeard || found->second.mSilentHere ||
+      found->second.mInfo.mLiveness == Liveness::Dead) {
+    return std::nullopt;
+  }
+  InstanceEntry& entry = found->second;
+  entry.mSilentHere = true;
+  entry.mSince = aNow;
+  if (entry.mInfo.mLiveness != Liveness::Alive) {
+    return std::nullopt;
+  }
+  entry.mInfo.mLiveness = Liveness::Suspect;
+  return entry.mInfo;
+}
+
+std::vector<InstanceInfo>
+InstanceTable::Expire(TimePoint aNow)
+{
+  std::vector<InstanceInfo> died;
+  for (auto next = mEntries.begin(); next != mEntries.end();) {
+    InstanceEntry& entry = next->second;
+    const Duration age = aNow - entry.mSince;
+    if (entry.mSilentHere && age >= mSettings.mSuspicion) {
+      entry.mInfo.mLiveness = Liveness::Dead;
+      entry.mSilentHere = false;
+      entry.mSince = aNow;
+      died.push_back(entry.mInfo);
+    }
+    const bool dead = entry.mInfo.mLiveness == Liveness::Dead;
+    const bool forget = dead && !entry.mListed && age >= mSettings.mDeadRetention;
+    next = forget ? mEntries.erase(next) : std::next(next);
+  }
+  return died;
+}
+
+void
+InstanceTable::RestartSuspicions(TimePoint aNow)
+{
+  for (auto& [id, entry] : mEntries) {
+    if (entry.mInfo.mLiveness != Liveness::Dead) {
+      entry.mSilentHere = false;
+      entry.mSince = aNow;
+    }
+  }
+}
+
+const InstanceInfo&
+InstanceTable::MarkSelfLeaving()
+{
+  mSelf.mLiveness = Liveness::Leaving;
+  return mSelf;
+}
+
+std::optional<InstanceInfo>
+InstanceTable::MergeListed(const ListedCandidate& aListed, TimePoint aNow)
+{
+  const auto [found, added] = mEntries.try_emplace(aListed.mInfo.mInstance);
+  InstanceEntry& entry = found->second;
+  entry.mListed = true;
+  if (added) {
+    entry.mInfo = aListed.mInfo;
+    entry.mInfo.mLiveness = Liveness::Alive;
+    entry.mInfo.mIncarnation = 0;
+    entry.mSince = aNow;
+  }
+  // Only a new mark counts: the list lags, and an instance that restarted under its name
+  // must not be marked by what the list says of the process before.
+  const bool marked = aListed.mLeaving && !entry.mListedLeaving;
+  entry.mListedLeaving = aListed.mLeaving;
+  if (!marked || RankOf(entry.mInfo.mLiveness) >= RankOf(Liveness::Leaving)) {
+    return std::nullopt;
+  }
+  entry.mInfo.mLiveness = Liveness::Leaving;
+  entry.mSince = aNow;
+  if (!entry.mHeard) {
+    return std::nullopt;
+  }
+  return entry.mInfo;
+}
+
+void
+InstanceTable::ForgetUnlisted(std::span<const ListedCandidate> aListed)
+{
+  std::set<InstanceId> listed;
+  for (const ListedCandidate& candidate : aListed) {
+    listed.insert(candidate.mInfo.mInstance);
+  }
+  for (auto next = mEntries.begin(); next != mEntries.end();) {
+    InstanceEntry& entry = next->second;
+    const bool ended = entry.mListed && !listed.contains(next->first);
+    entry.mListed = entry.mListed && !ended;
+    next = ended && !entry.mHeard ? mEntries.erase(next) : std::next(next);
+  }
+}
+
+std::vector<InstanceInfo>
+InstanceTable::MergeListing(std::span<const ListedCandidate> aListed, TimePoint aNow)
+{
+  std::vector<InstanceInfo> changed;
+  for (const ListedCandidate& listed : aListed) {
+    if (listed.mInfo.mInstance == mSelf.mInstance) {
+      if (listed.mLeaving && mSelf.mLiveness != Liveness::Leaving) {
+        changed.push_back(MarkSelfLeaving());
+      }
+      continue;
+    }
+    if (const auto change = MergeListed(listed, aNow)) {
+      changed.push_back(*change);
+    }
+  }
+  ForgetUnlisted(aListed);
+  return changed;
+}
+
+std::vector<std::uint64_t>
+InstanceTable::Digest() const
+{
+  std::vector<std::uint64_t> digest(kBuckets);
+  digest[BucketOf(mSelf.mInstance)] ^= DigestOf(mSelf);
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mHeard && entry.mInfo.mLiveness != Liveness::Dead) {
+      digest[BucketOf(id)] ^= DigestOf(entry.mInfo);
+    }
+  }
+  return digest;
+}
+
+std::vector<InstanceInfo>
+InstanceTable::EntriesThatDiffer(std::span<const std::uint64_t> aTheirs) const
+{
+  std::vector<InstanceInfo> entries;
+  if (aTheirs.size() != kBuckets) {
+    return entries;
+  }
+  const std::vector<std::uint64_t> own = Digest();
+  for (const auto& [id, entry] : mEntries) {
+    const std::size_t bucket = BucketOf(id);
+    if (entry.mHeard && own[bucket] != aTheirs[bucket] &&
+        entries.size() < mSettings.mMaxTableEntries) {
+      entries.push_back(entry.mInfo);
+    }
+  }
+  return entries;
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/decision/membership/pausedetector.cpp
@@ -0,0 +1,24 @@
+#include "decision/membership/pausedetector.h"
+
+namespace papayaspindle {
+
+bool
+PauseDetector::Tick(TimePoint aNow)
+{
+  const bool paused = mLastTick && aNow - *mLastTick > mGap;
+  mLastTick = aNow;
+  if (paused) {
+    mResumed = aNow;
+  }
+  return paused;
+}
+
+void
+PauseDetector::NoteAnswer(TimePoint aSent)
+{
+  if (mResumed && aSent >= *mResumed) {
+    mResumed.reset();
+  }
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/decision/membership/probescheduler.cpp
@@ -0,0 +1,259 @@
+#include "decision/membership/probescheduler.h"
+
+#include "decision/membership/delegatechooser.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace papayaspindle {
+
+namespace {
+
+// Most entries of a lagging list may be dead, so a joining instance tries several.
+constexpr std::size_t kJoinProbes = 3;
+constexpr std::size_t kMaxVerifyProbes = 16;
+// Bounds the burst when a large zone is lost.
+constexpr std::size_t kMaxProbesPerZone = 64;
+
+bool
+IsSuspect(const InstanceEntry& aEntry)
+{
+  return aEntry.mHeard && aEntry.mInfo.mLiveness == Liveness::Suspect;
+}
+
+bool
+IsDead(const InstanceEntry& aEntry)
+{
+  return aEntry.mHeard && aEntry.mInfo.mLiveness == Liveness::Dead;
+}
+
+} // namespace
+
+ProbeScheduler::ProbeScheduler(MembershipSettings aSettings, RandomHook aRandom)
+  : mSettings(aSettings)
+  , mRandom(std::move(aRandom))
+{
+}
+
+std::size_t
+ProbeScheduler::RandomBelow(std::size_t aBound)
+{
+  return static_cast<std::size_t>(mRandom() % aBound);
+}
+
+template<typename Item>
+void
+ProbeScheduler::Shuffle(std::vector<Item>& aItems)
+{
+  for (std::size_t i = aItems.size(); i > 1; --i) {
+    std::swap(aItems[i - 1], aItems[RandomBelow(i)]);
+  }
+}
+
+std::vector<ScheduledProbe>
+ProbeScheduler::Due(const InstanceTable& aTable, TimePoint aNow)
+{
+  if (mNextProbe && aNow < *mNextProbe) {
+    return {};
+  }
+  const bool behind = !mNextProbe || aNow - *mNextProbe > mSettings.mProbeInterval;
+  mNextProbe = (behind ? aNow : *mNextProbe) + mSettings.mProbeInterval;
+  const std::vector<InstanceInfo> live = aTable.Live();
+  const bool delegate =
+    aTable.Self().mLiveness == Liveness::Alive && IsDelegate(aTable.Self(), live);
+  Probes probes;
+  AddRound(aTable, probes);
+  AddVerify(aTable, delegate, aNow, probes);
+  AddRejoin(aTable, aNow, probes);
+  if (delegate) {
+    AddCrossZone(aTable, live, probes);
+    AddLostZones(aTable, live, probes);
+  }
+  AddAntiEntropy(aTable, aNow, probes);
+  return probes;
+}
+
+std::optional<InstanceId>
+ProbeScheduler::NextOfRound(const InstanceTable& aTable)
+{
+  while (!mRound.empty()) {
+    const InstanceId next = mRound.back();
+    mRound.pop_back();
+    const InstanceEntry* entry = aTable.Find(next);
+    if (entry != nullptr && !IsDead(*entry)) {
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+ProbeScheduler::AddRound(const InstanceTable& aTable, Probes& aProbes)
+{
+  const AvailabilityZone& zone = aTable.Self().mAvailabilityZone;
+  bool alone = true;
+  std::vector<InstanceId> round;
+  for (const auto& [id, entry] : aTable.Entries()) {
+    if (entry.mInfo.mAvailabilityZone == zone && !IsDead(entry)) {
+      round.push_back(id);
+      alone = alone && !entry.mHeard;
+    }
+  }
+  const std::size_t wanted = alone ? kJoinProbes : 1;
+  while (aProbes.size() < wanted) {
+    std::optional<InstanceId> next = NextOfRound(aTable);
+    if (!next) {
+      // The shuffled round bounds the time until each instance is probed again.
+      mRound = round;
+      Shuffle(mRound);
+      next = NextOfRound(aTable);
+    }
+    const bool repeated =
+      next && std::any_of(aProbes.begin(), aProbes.end(), [&](const auto& aProbe) {
+        return aProbe.mTarget == *next;
+      });
+    if (!next || repeated) {
+      return;
+    }
+    aProbes.push_back({ *next, ProbeKind::Round });
+  }
+}
+
+void
+ProbeScheduler::AddVerify(const InstanceTable& aTable,
+                          bool aDelegate,
+                          TimePoint aNow,
+                          Probes& aProbes)
+{
+  Probes due;
+  for (const auto& [id, entry] : aTable.Entries()) {
+    const bool ours =
+      aDelegate || entry.mInfo.mAvailabilityZone == aTable.Self().mAvailabilityZone;
+    const bool ripe = entry.mSilentHere || aNow - entry.mSince >= mSettings.mVerifyAfter;
+    if (ours && ripe && IsSuspect(entry)) {
+      due.push_back({ id, ProbeKind::Verify });
+    }
+  }
+  Shuffle(due);
+  due.resize(std::min(due.size(), kMaxVerifyProbes));
+  aProbes.insert(aProbes.end(), due.begin(), due.end());
+}
+
+void
+ProbeScheduler::AddRejoin(const InstanceTable& aTable, TimePoint aNow, Probes& aProbes)
+{
+  if (mNextRejoin && aNow < *mNextRejoin) {
+    return;
+  }
+  mNextRejoin = aNow + mSettings.mRejoinInterval;
+  std::vector<InstanceId> dead;
+  for (const auto& [id, entry] : aTable.Entries()) {
+    if (IsDead(entry) &&
+        entry.mInfo.mAvailabilityZone == aTable.Self().mAvailabilityZone) {
+      dead.push_back(id);
+    }
+  }
+  if (!dead.empty()) {
+    aProbes.push_back({ dead[RandomBelow(dead.size())], ProbeKind::Rejoin });
+  }
+}
+
+void
+ProbeScheduler::AddCrossZone(const InstanceTable& aTable,
+                             std::span<const InstanceInfo> aLive,
+                             Probes& aProbes)
+{
+  for (const auto& [zone, ranked] : RankByZone(aLive)) {
+    if (zone == aTable.Self().mAvailabilityZone) {
+      continue;
+    }
+    std::vector<InstanceId> alive;
+    for (const InstanceInfo& instance : ranked) {
+      if (instance.mLiveness == Liveness::Alive) {
+        alive.push_back(instance.mInstance);
+      }
+    }
+    // With each suspect one more instance is probed, so the loss of a whole zone is
+    // found by doubling instead of two instances at a time.
+    const std::size_t suspects = ranked.size() - alive.size();
+    const std::size_t width = std::min(kDelegatesPerZone + suspects, kMaxProbesPerZone);
+    alive.resize(std::min(alive.size(), width));
+    for (const InstanceId& instance : alive) {
+      aProbes.push_back({ instance, ProbeKind::CrossZone });
+    }
+  }
+}
+
+void
+ProbeScheduler::AddLostZones(const InstanceTable& aTable,
+                             std::span<const InstanceInfo> aLive,
+                             Probes& aProbes)
+{
+  std::set<AvailabilityZone> liveZones{ aTable.Self().mAvailabilityZone };
+  for (const InstanceInfo& instance : aLive) {
+    liveZones.insert(instance.mAvailabilityZone);
+  }
+  std::map<AvailabilityZone, std::vector<InstanceId>> lost;
+  for (const auto& [id, entry] : aTable.Entries()) {
+    if (!liveZones.contains(entry.mInfo.mAvailabilityZone)) {
+      lost[entry.mInfo.mAvailabilityZone].push_back(id);
+    }
+  }
+  for (auto& [zone, instances] : lost) {
+    Shuffle(instances);
+    instances.resize(std::min(instances.size(), kDelegatesPerZone));
+    for (const InstanceId& instance : instances) {
+      aProbes.push_back({ instance, ProbeKind::Rejoin });
+    }
+  }
+}
+
+void
+ProbeScheduler::AddAntiEntropy(const InstanceTable& aTable,
+                               TimePoint aNow,
+                               Probes& aProbes)
+{
+  if (aProbes.empty() || (mNextAntiEntropy && aNow < *mNextAntiEntropy)) {
+    return;
+  }
+  mNextAntiEntropy = aNow + mSettings.mAntiEntropyInterval;
+  const AvailabilityZone& zone = aTable.Self().mAvailabilityZone;
+  std::vector<ScheduledProbe*> abroad;
+  bool atHome = false;
+  for (ScheduledProbe& probe : aProbes) {
+    if (aTable.Find(probe.mTarget)->mInfo.mAvailabilityZone != zone) {
+      abroad.push_back(&probe);
+    } else if (!atHome) {
+      probe.mAntiEntropy = true;
+      atHome = true;
+    }
+  }
+  if (!abroad.empty()) {
+    abroad[RandomBelow(abroad.size())]->mAntiEntropy = true;
+  }
+}
+
+void
+ProbeScheduler::HastenAntiEntropy()
+{
+  mNextAntiEntropy.reset();
+}
+
+std::vector<InstanceInfo>
+ProbeScheduler::Helpers(const InstanceTable& aTable, const InstanceId& aTarget)
+{
+  std::vector<InstanceInfo> helpers;
+  for (const auto& [id, entry] : aTable.Entries()) {
+    if (entry.mHeard && entry.mInfo.mLiveness == Liveness::Alive && id != aTarget &&
+        entry.mInfo.mAvailabilityZone == aTable.Self().mAvailabilityZone) {
+      helpers.push_back(entry.mInfo);
+    }
+  }
+  Shuffle(helpers);
+  helpers.resize(std::min(helpers.size(), mSettings.mIndirectProbes));
+  return helpers;
+}
+
+} // namespace papayaspindle
