--- a/src/app/settings/settingrows.cpp
+++ b/src/app/settings/settingrows.cpp
@@ -11,7 +11,7 @@
 using Text = std::string Settings::*;
 
 constexpr std::int64_t kMinute = 60'000;
-constexpr std::int64_t kMebibyte = 1024 * 1024;
+constexpr std::int64_t kMebibyte = std::int64_t(1024) * 1024;
 constexpr bool kSecret = true;
 
 constexpr SettingRow
