--- a/src/libs/transport/grpcmemberconnection.cpp
+++ b/src/libs/transport/grpcmemberconnection.cpp
@@ -8,32 +8,6 @@
 
 namespace papayaspindle {
 
-namespace {
-
-std::chrono::system_clock::time_point
-SystemTime(TimePoint aDeadline)
-{
-  return std::chrono::system_clock::now() +
-         std::chrono::duration_cast<std::chrono::system_clock::duration>(aDeadline -
-                                                                         Clock::now());
-}
-
-/** @return the channel's state once it is ready or has failed, or at the deadline */
-grpc_connectivity_state
-WaitUntilConnected(grpc::Channel& aChannel, TimePoint aDeadline)
-{
-  grpc_connectivity_state state = aChannel.GetState(true);
-  while (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING) {
-    if (!aChannel.WaitForStateChange(state, SystemTime(aDeadline))) {
-      return state;
-    }
-    state = aChannel.GetState(true);
-  }
-  return state;
-}
-
-} // namespace
-
 Result<std::unique_ptr<GrpcMemberConnection>>
 GrpcMemberConnection::Open(ChannelTable& aChannels,
                            std::string_view aAddress,
@@ -41,18 +15,14 @@
 {
   std::unique_ptr<GrpcMemberConnection> connection(
     new GrpcMemberConnection(aChannels, aAddress));
-  const grpc_connectivity_state state =
-    WaitUntilConnected(*connection->mChannel, aDeadline);
-  if (state != GRPC_CHANNEL_READY) {
-    if (state == GRPC_CHANNEL_CONNECTING) {
-      aChannels.Replace(aAddress, connection->mChannel);
-    }
+  const auto opening = connection->mStream->WaitUntilOpen(aDeadline);
+  if (opening == SessionStream::Opening::TimedOut) {
+    aChannels.Replace(aAddress, connection->mChannel);
+  }
+  if (opening != SessionStream::Opening::Ready) {
     return Error{ ErrorKind::MemberUnreachable,
                   fmt::format("no connection to {}", aAddress) };
   }
-  const ChannelSettings& settings = aChannels.Settings();
-  connection->mStream = SessionStream::Start(
-    connection->mChannel, settings.mInstance, settings.mMaxMessageBytes);
   return connection;
 }
 
@@ -61,13 +31,13 @@
   : mChannels(aChannels)
   , mAddress(aAddress)
   , mChannel(aChannels.Channel(aAddress))
+  , mStream(std::make_unique<SessionStream>(mChannel,
+                                            aChannels.Settings().mInstance,
+                                            aChannels.Settings().mMaxMessageBytes))
 {
 }
 
-GrpcMemberConnection::~GrpcMemberConnection()
-{
-  Close();
-}
+GrpcMemberConnection::~GrpcMemberConnection() = default;
 
 Result<v1::SessionAnswer>
 GrpcMemberConnection::Run(v1::SessionRequest aRequest, TimePoint aDeadline)
@@ -80,7 +50,7 @@
   if (Clock::now() >= aDeadline) {
     return Error{ ErrorKind::DeadlineBeforeStart, "nothing was sent" };
   }
-  Result<v1::SessionAnswer> answer = mStream->Run(std::move(aRequest), aDeadline);
+  Result<v1::SessionAnswer> answer = mStream->Run(aRequest, aDeadline);
   if (!IsOk(answer)) {
     if (Clock::now() >= aDeadline) {
       mChannels.Replace(mAddress, mChannel);
@@ -97,15 +67,13 @@
 void
 GrpcMemberConnection::Close()
 {
-  if (mStream) {
-    mStream->Cancel();
-  }
+  mStream->Cancel();
 }
 
 bool
 GrpcMemberConnection::IsOpen() const
 {
-  return mStream && mStream->IsOpen();
+  return mStream->IsOpen();
 }
 
 } // namespace papayaspindle
--- a/src/libs/transport/grpcmemberconnection.h
+++ b/src/libs/transport/grpcmemberconnection.h
@@ -58,7 +58,7 @@
   ChannelTable& mChannels;
   std::string mAddress;
   std::shared_ptr<grpc::Channel> mChannel;
-  std::shared_ptr<SessionStream> mStream;
+  std::unique_ptr<SessionStream> mStream;
   std::uint64_t mSequence = 0;
 };
 
--- a/src/libs/transport/sessionstream.cpp
+++ b/src/libs/transport/sessionstream.cpp
@@ -1,72 +1,109 @@
 #include "transport/sessionstream.h"
 
 #include "transport/callfailure.h"
+#include "transport/systemtime.h"
 
 #include <utility>
 
 namespace papayaspindle {
 
-std::shared_ptr<SessionStream>
-SessionStream::Start(const std::shared_ptr<grpc::Channel>& aChannel,
-                     const std::string& aInstance,
-                     std::size_t aMaxMessageBytes)
+namespace {
+
+// Tags of a stream's operations; at most one of each is outstanding.
+enum Operation : std::uintptr_t
+{
+  kStart = 1,
+  kWrite,
+  kRead,
+  kFinish,
+};
+
+void*
+Tag(Operation aOperation)
 {
-  std::shared_ptr<SessionStream> stream(new SessionStream(aChannel, aMaxMessageBytes));
-  stream->mSelf = stream;
-  stream->mContext.AddMetadata(kFromMetadata, aInstance);
-  stream->mStub.async()->Session(&stream->mContext, stream.get());
-  // Without a hold gRPC could finish the stream while Run starts a write on it.
-  stream->AddHold();
-  stream->StartRead(&stream->mIncoming);
-  stream->StartCall();
-  return stream;
+  return reinterpret_cast<void*>(aOperation);
 }
 
+} // namespace
+
 SessionStream::SessionStream(const std::shared_ptr<grpc::Channel>& aChannel,
+                             const std::string& aInstance,
                              std::size_t aMaxMessageBytes)
-  : mStub(aChannel)
+  : mStub(v1::Backend::NewStub(aChannel))
   , mMaxMessageBytes(aMaxMessageBytes)
 {
+  mContext.AddMetadata(kFromMetadata, aInstance);
+  mContext.set_wait_for_ready(false);
+  mCall = mStub->PrepareAsyncSession(&mContext, &mQueue);
+  mCall->StartCall(Tag(kStart));
 }
 
-Result<v1::SessionAnswer>
-SessionStream::Run(v1::SessionRequest aRequest, TimePoint aDeadline)
+SessionStream::~SessionStream()
 {
-  {
-    const std::lock_guard lock(mMutex);
-    if (mEnded) {
-      return Error{ ErrorKind::MemberUnreachable, "the connection has ended" };
-    }
-    mOutgoing = std::move(aRequest);
-    mWaiting = true;
-    mAnswered = false;
-    mStartingWrite = true;
-  }
-  StartWrite(&mOutgoing);
-  std::unique_lock lock(mMutex);
-  mStartingWrite = false;
-  if (mEnded && TakeHold()) {
-    lock.unlock();
-    RemoveHold();
-    lock.lock();
-  }
-  if (!mChanged.wait_until(lock, aDeadline, [this] { return mAnswered || mDone; })) {
+  mContext.TryCancel();
+  const std::lock_guard lock(mMutex);
+  if (!mFinishing) {
+    mCall->Finish(&mStatus, Tag(kFinish));
+  }
+  mQueue.Shutdown();
+  void* tag = nullptr;
+  bool ok = false;
+  while (mQueue.Next(&tag, &ok)) {
+  }
+}
+
+SessionStream::Opening
+SessionStream::WaitUntilOpen(TimePoint aDeadline)
+{
+  const std::lock_guard lock(mMutex);
+  if (!HandleNext(SystemTime(aDeadline))) {
+    mEnded = true;
+    return Opening::TimedOut;
+  }
+  if (!mStarted) {
     mEnded = true;
-    lock.unlock();
-    mContext.TryCancel();
-    return Error{ ErrorKind::OutcomeUnknown, "no answer before the deadline" };
+    return Opening::Failed;
   }
-  return TakeAnswer();
+  mCall->Read(&mIncoming, Tag(kRead));
+  return Opening::Ready;
 }
 
 Result<v1::SessionAnswer>
-SessionStream::TakeAnswer()
+SessionStream::Run(const v1::SessionRequest& aRequest, TimePoint aDeadline)
 {
+  const std::lock_guard lock(mMutex);
+  HandleFinished();
+  if (mEnded) {
+    return Error{ ErrorKind::MemberUnreachable, "the connection has ended" };
+  }
+  mWaiting = true;
+  mAnswered = false;
+  mWriting = true;
+  mCall->Write(aRequest, Tag(kWrite));
+  const auto deadline = SystemTime(aDeadline);
+  while (mWriting || !(mAnswered || mEnded)) {
+    if (!HandleNext(deadline)) {
+      mEnded = true;
+      mContext.TryCancel();
+      return Error{ ErrorKind::OutcomeUnknown, "no answer before the deadline" };
+    }
+  }
   mWaiting = false;
   if (mAnswered) {
     return std::move(mAnswer);
   }
-  mEnded = true;
+  return FinishFailed();
+}
+
+Error
+SessionStream::FinishFailed()
+{
+  mContext.TryCancel();
+  if (!std::exchange(mFinishing, true)) {
+    mCall->Finish(&mStatus, Tag(kFinish));
+  }
+  while (!mFinished && HandleNext(std::chrono::system_clock::time_point::max())) {
+  }
   if (IsAnswerTooLarge(mStatus, mMaxMessageBytes)) {
     return Error{ ErrorKind::AnswerTooLarge, mStatus.error_message() };
   }
@@ -77,68 +114,67 @@
 void
 SessionStream::Cancel()
 {
-  {
-    const std::lock_guard lock(mMutex);
-    mEnded = true;
-  }
+  mEnded = true;
   mContext.TryCancel();
 }
 
 bool
-SessionStream::IsOpen() const
+SessionStream::IsOpen()
 {
-  const std::lock_guard lock(mMutex);
+  const std::unique_lock lock(mMutex, std::try_to_lock);
+  if (lock.owns_lock()) {
+    HandleFinished();
+  }
   return !mEnded;
 }
 
-bool
-SessionStream::TakeHold()
+void
+SessionStream::HandleFinished()
 {
-  return !std::exchange(mHoldReleased, true);
+  while (!mEnded && HandleNext(std::chrono::system_clock::now())) {
+  }
 }
 
-void
-SessionStream::OnReadDone(bool aOk)
+bool
+SessionStream::HandleNext(std::chrono::system_clock::time_point aDeadline)
 {
-  bool releaseHold = false;
-  bool unexpected = false;
-  {
-    const std::lock_guard lock(mMutex);
-    if (!aOk) {
-      mEnded = true;
-      releaseHold = !mStartingWrite && TakeHold();
-    } else if (mWaiting && !mAnswered) {
-      mAnswer.Swap(&mIncoming);
-      mAnswered = true;
-      mChanged.notify_all();
-    } else {
-      // An answer that nobody waits for would be taken for the next request's answer.
-      mEnded = true;
-      unexpected = true;
-    }
-  }
-  if (unexpected) {
-    mContext.TryCancel();
-  }
-  if (aOk) {
-    StartRead(&mIncoming);
+  void* tag = nullptr;
+  bool ok = false;
+  if (mQueue.AsyncNext(&tag, &ok, aDeadline) != grpc::CompletionQueue::GOT_EVENT) {
+    return false;
   }
-  if (releaseHold) {
-    RemoveHold();
+  switch (static_cast<Operation>(reinterpret_cast<std::uintptr_t>(tag))) {
+    case kStart:
+      mStarted = ok;
+      break;
+    case kWrite:
+      mWriting = false;
+      break;
+    case kRead:
+      HandleRead(ok);
+      break;
+    case kFinish:
+      mFinished = true;
+      break;
   }
+  return true;
 }
 
 void
-SessionStream::OnDone(const grpc::Status& aStatus)
+SessionStream::HandleRead(bool aOk)
 {
-  std::shared_ptr<SessionStream> self;
-  {
-    const std::lock_guard lock(mMutex);
-    mDone = true;
-    mStatus = aStatus;
-    mChanged.notify_all();
-    self = std::move(mSelf);
+  if (!aOk) {
+    mEnded = true;
+    return;
+  }
+  if (!mWaiting || mAnswered) {
+    // An answer that nobody waits for would be taken for the next request's answer.
+    Cancel();
+    return;
   }
+  mAnswer.Swap(&mIncoming);
+  mAnswered = true;
+  mCall->Read(&mIncoming, Tag(kRead));
 }
 
 } // namespace papayaspindle
--- a/src/libs/transport/sessionstream.h
+++ b/src/libs/transport/sessionstream.h
@@ -6,7 +6,7 @@
 
 #include <grpcpp/grpcpp.h>
 
-#include <condition_variable>
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <mutex>
@@ -15,62 +15,70 @@
 namespace papayaspindle {
 
 /**
- * One Backend.Session stream with one request at a time. A read is always outstanding, so
- * the end of the stream is noticed at once. Keeps itself alive until gRPC has finished
- * with it.
+ * One Backend.Session stream with one request at a time, driven by the thread that runs
+ * the request. A read is always outstanding, so that the end of the stream is noticed
+ * before the next request is sent.
+ *
+ * It uses a completion queue and not gRPC's callback API: gRPC 1.51 aborts now and then
+ * in its callback queue's thread when the last channel of a process that uses it closes.
  */
 class SessionStream
-  : private grpc::ClientBidiReactor<v1::SessionRequest, v1::SessionAnswer>
 {
 public:
-  /** Starts a stream on a channel that is ready. */
-  static std::shared_ptr<SessionStream> Start(
-    const std::shared_ptr<grpc::Channel>& aChannel,
-    const std::string& aInstance,
-    std::size_t aMaxMessageBytes);
+  SessionStream(const std::shared_ptr<grpc::Channel>& aChannel,
+                const std::string& aInstance,
+                std::size_t aMaxMessageBytes);
+  /** Cancels the stream and waits until gRPC has finished with it. */
+  ~SessionStream();
+
+  /** What became of an attempt to open the stream. */
+  enum class Opening
+  {
+    Ready,
+    Failed,
+    TimedOut,
+  };
+  /** Waits until the stream is on a connection, or until the attempt failed. */
+  Opening WaitUntilOpen(TimePoint aDeadline);
 
   /**
    * @param aRequest its sequence is already set
    * @return the next answer, MemberUnreachable when the stream had ended before, or
    * OutcomeUnknown or AnswerTooLarge when the request was sent
    */
-  Result<v1::SessionAnswer> Run(v1::SessionRequest aRequest, TimePoint aDeadline);
-  /** Ends the stream; the backend server rolls an open transaction back. */
+  Result<v1::SessionAnswer> Run(const v1::SessionRequest& aRequest, TimePoint aDeadline);
+  /** Ends the stream; the backend server rolls an open transaction back. Thread-safe. */
   void Cancel();
-  /** @return whether a request can still be sent */
-  [[nodiscard]] bool IsOpen() const;
+  /** @return whether a request can still be sent. Thread-safe. */
+  [[nodiscard]] bool IsOpen();
 
 private:
-  SessionStream(const std::shared_ptr<grpc::Channel>& aChannel,
-                std::size_t aMaxMessageBytes);
-
-  void OnReadDone(bool aOk) override;
-  void OnDone(const grpc::Status& aStatus) override;
-  /** Called with the lock held. @return whether the caller must release the hold */
-  bool TakeHold();
-  /** Called with the lock held, once an answer or the stream's end is there. */
-  Result<v1::SessionAnswer> TakeAnswer();
+  /** Waits for one operation. @return false at the deadline */
+  bool HandleNext(std::chrono::system_clock::time_point aDeadline);
+  void HandleRead(bool aOk);
+  /** Handles what has finished, without waiting. */
+  void HandleFinished();
+  Error FinishFailed();
 
-  v1::Backend::Stub mStub;
+  std::unique_ptr<v1::Backend::Stub> mStub;
   grpc::ClientContext mContext;
   const std::size_t mMaxMessageBytes;
-  v1::SessionRequest mOutgoing;
+  grpc::CompletionQueue mQueue;
+  std::unique_ptr<grpc::ClientAsyncReaderWriter<v1::SessionRequest, v1::SessionAnswer>>
+    mCall;
   v1::SessionAnswer mIncoming;
-  std::shared_ptr<SessionStream> mSelf;
-
-  mutable std::mutex mMutex;
-  std::condition_variable mChanged;
   v1::SessionAnswer mAnswer;
   grpc::Status mStatus;
-  /** A request waits for its answer. */
+  /** Held while operations are started or handled. */
+  std::mutex mMutex;
+  bool mStarted = false;
+  bool mWriting = false;
   bool mWaiting = false;
   bool mAnswered = false;
-  /** StartWrite is being called; the hold must stay. */
-  bool mStartingWrite = false;
-  bool mHoldReleased = false;
-  /** No further answer can arrive, or one arrived that nobody asked for. */
-  bool mEnded = false;
-  bool mDone = false;
+  bool mFinishing = false;
+  bool mFinished = false;
+  /** No further request may be sent. */
+  std::atomic<bool> mEnded = false;
 };
 
 } // namespace papayaspindle
