--- a/src/libs/interfaces/membercontrol.h
+++ b/src/libs/interfaces/membercontrol.h
@@ -13,9 +13,9 @@
 /**
  * Control calls to one backend server; they use none of the group's limited connections.
  *
- * Every call blocks for at most its timeout. Errors: MemberUnreachable when no answer
- * arrived (the member may still have acted on the call); the message starts with
- * "refused" when the host refused the connection.
+ * Every call blocks for at most its timeout. Errors: MemberUnreachable when the member
+ * certainly did not get the call (the message starts with "refused" when the host refused
+ * the connection); OutcomeUnknown when no answer arrived and the member may have acted.
  */
 class MemberControl
 {
