--- /dev/null
+++ b/src/libs/decision/failover/suspiciontracker.cpp
@@ -0,0 +1,90 @@
+#include "decision/failover/suspiciontracker.h"
+
+#include <utility>
+
+namespace papayaspindle {
+
+SuspicionTracker::SuspicionTracker(const SuspicionSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+SuspicionTracker::OnTick(TimePoint aNow)
+{
+  const Duration gap = mLastTick ? aNow - *mLastTick : Duration::zero();
+  mLastTick = aNow;
+  if (gap <= mSettings.mOwnPause) {
+    return;
+  }
+  // Answers that arrived during the pause were not seen, so the silence starts over.
+  for (auto& [member, state] : mStates) {
+    state.mLastAnswer = aNow;
+    state.mFailure.reset();
+  }
+}
+
+void
+SuspicionTracker::OnAnswer(const MemberId& aMember, TimePoint aNow)
+{
+  State& state = StateOf(aMember, aNow);
+  state.mLastAnswer = aNow;
+  state.mFailure.reset();
+}
+
+void
+SuspicionTracker::OnFailure(const MemberId& aMember, PollFailure aFailure, TimePoint aNow)
+{
+  StateOf(aMember, aNow).mFailure = aFailure;
+}
+
+void
+SuspicionTracker::OnTrafficError(const MemberId& aMember, TimePoint aNow)
+{
+  StateOf(aMember, aNow).mProbe = true;
+}
+
+bool
+SuspicionTracker::TakeProbe(const MemberId& aMember)
+{
+  const auto found = mStates.find(aMember);
+  return found != mStates.end() && std::exchange(found->second.mProbe, false);
+}
+
+std::optional<PollFailure>
+SuspicionTracker::Suspicion(const MemberId& aMember, int aRank, TimePoint aNow) const
+{
+  const auto found = mStates.find(aMember);
+  if (found == mStates.end() || !found->second.mFailure || aRank < 0) {
+    return std::nullopt;
+  }
+  const bool refused = found->second.mFailure == PollFailure::Refused;
+  const Duration threshold =
+    (refused ? mSettings.mRefused : mSettings.mSilent) + aRank * mSettings.mPerRank;
+  if (aNow - found->second.mLastAnswer < threshold) {
+    return std::nullopt;
+  }
+  return found->second.mFailure;
+}
+
+bool
+SuspicionTracker::HasFailed(const MemberId& aMember) const
+{
+  const auto found = mStates.find(aMember);
+  return found != mStates.end() && found->second.mFailure.has_value();
+}
+
+Duration
+SuspicionTracker::Silence(const MemberId& aMember, TimePoint aNow) const
+{
+  const auto found = mStates.find(aMember);
+  return found == mStates.end() ? Duration::zero() : aNow - found->second.mLastAnswer;
+}
+
+SuspicionTracker::State&
+SuspicionTracker::StateOf(const MemberId& aMember, TimePoint aNow)
+{
+  return mStates.try_emplace(aMember, State{ aNow, std::nullopt, false }).first->second;
+}
+
+} // namespace papayaspindle
