Rank homes without copying instances

Change: candidates are indices with score and hash; only the best and the best of each zone are sorted. When no zone of the members has instances, homes are no longer spread over the other zones.

--- a/src/libs/decision/routing/homeranking.cpp
+++ b/src/libs/decision/routing/homeranking.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -16,22 +17,18 @@
 // A second home confirms a suspicion and takes over when the keeper does not act.
 constexpr std::size_t kMinHomes = 2;
 
+/** A candidate by its index in the live instances; strings stay where they are, because
+ * a region has over a thousand candidates for each of its groups. */
 struct Candidate
 {
-  InstanceId mInstance;
-  AvailabilityZone mZone;
+  std::uint32_t mIndex = 0;
+  /** Index in the group's zones. */
+  std::size_t mZone = 0;
   double mScore = 0;
   std::uint64_t mHash = 0;
 };
 
-bool
-RanksBefore(const Candidate& aLeft, const Candidate& aRight)
-{
-  return std::tie(aRight.mScore, aRight.mHash, aRight.mInstance) <
-         std::tie(aLeft.mScore, aLeft.mHash, aLeft.mInstance);
-}
-
-std::set<AvailabilityZone>
+std::vector<AvailabilityZone>
 MemberZones(const GroupSettings& aGroup)
 {
   std::set<AvailabilityZone> staying;
@@ -42,7 +39,8 @@
       staying.insert(member.mAvailabilityZone);
     }
   }
-  return staying.empty() ? all : staying;
+  const auto& zones = staying.empty() ? all : staying;
+  return { zones.begin(), zones.end() };
 }
 
 bool
@@ -61,19 +59,69 @@
   return aWeight / -std::log(uniform);
 }
 
-/** Moves the best of each zone to the front, in order of score. */
+/** Ranks candidates of equal score by hash, then by name. */
+class RankOrder
+{
+public:
+  explicit RankOrder(std::span<const InstanceInfo> aLive)
+    : mLive(aLive)
+  {
+  }
+
+  bool operator()(const Candidate& aLeft, const Candidate& aRight) const
+  {
+    return std::tie(aRight.mScore, aRight.mHash, mLive[aRight.mIndex].mInstance) <
+           std::tie(aLeft.mScore, aLeft.mHash, mLive[aLeft.mIndex].mInstance);
+  }
+
+private:
+  std::span<const InstanceInfo> mLive;
+};
+
+/** Moves the best of each zone to the front; both parts stay in rank order. */
 void
 SpreadOverZones(std::vector<Candidate>& aRanked)
 {
-  std::set<AvailabilityZone> seen;
+  std::set<std::size_t> seen;
   std::vector<Candidate> first;
   std::vector<Candidate> rest;
-  for (auto& candidate : aRanked) {
+  for (const Candidate& candidate : aRanked) {
     const bool isFirst = seen.insert(candidate.mZone).second;
-    (isFirst ? first : rest).push_back(std::move(candidate));
+    (isFirst ? first : rest).push_back(candidate);
   }
   aRanked = std::move(first);
-  std::move(rest.begin(), rest.end(), std::back_inserter(aRanked));
+  aRanked.insert(aRanked.end(), rest.begin(), rest.end());
+}
+
+/** Keeps the aWanted best and the best of each zone, in rank order. */
+void
+KeepBest(std::vector<Candidate>& aCandidates,
+         std::size_t aWanted,
+         std::size_t aZones,
+         const RankOrder& aRanksBefore)
+{
+  std::vector<std::optional<Candidate>> bestOfZone(aZones);
+  for (const Candidate& candidate : aCandidates) {
+    auto& best = bestOfZone[candidate.mZone];
+    if (!best || aRanksBefore(candidate, *best)) {
+      best = candidate;
+    }
+  }
+  const auto end = aCandidates.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(aWanted, aCandidates.size()));
+  std::partial_sort(aCandidates.begin(), end, aCandidates.end(), aRanksBefore);
+  aCandidates.erase(end, aCandidates.end());
+  for (const auto& best : bestOfZone) {
+    const bool isKept =
+      !best ||
+      std::any_of(aCandidates.begin(), aCandidates.end(), [&](const Candidate& aKept) {
+        return aKept.mIndex == best->mIndex;
+      });
+    if (!isKept) {
+      aCandidates.push_back(*best);
+    }
+  }
+  std::sort(aCandidates.begin(), aCandidates.end(), aRanksBefore);
 }
 
 } // namespace
@@ -87,30 +135,36 @@
 HomeRanking::Rank(const GroupSettings& aGroup, std::span<const InstanceInfo> aLive) const
 {
   const auto zones = MemberZones(aGroup);
+  const auto zoneOf = [&](const InstanceInfo& aInfo) {
+    const auto found = std::find(zones.begin(), zones.end(), aInfo.mAvailabilityZone);
+    return static_cast<std::size_t>(found - zones.begin());
+  };
   const bool zonesHaveInstances =
     std::any_of(aLive.begin(), aLive.end(), [&](const InstanceInfo& aInfo) {
-      return MayBeHome(aInfo) && zones.contains(aInfo.mAvailabilityZone);
+      return MayBeHome(aInfo) && zoneOf(aInfo) < zones.size();
     });
   std::vector<Candidate> ranked;
-  for (const auto& info : aLive) {
-    if (!MayBeHome(info) ||
-        (zonesHaveInstances && !zones.contains(info.mAvailabilityZone))) {
+  ranked.reserve(aLive.size());
+  for (std::uint32_t i = 0; i < aLive.size(); ++i) {
+    const InstanceInfo& info = aLive[i];
+    const std::size_t zone = zoneOf(info);
+    if (!MayBeHome(info) || (zonesHaveInstances && zone == zones.size())) {
       continue;
     }
     const auto hash = StableHash({ aGroup.mGroup.Text(), info.mInstance.Text() });
     const double weight = mWeight ? mWeight(info) : 1.0;
-    ranked.push_back(
-      { info.mInstance, info.mAvailabilityZone, Score(hash, weight), hash });
+    ranked.push_back({ i, zone, Score(hash, weight), hash });
   }
-  std::sort(ranked.begin(), ranked.end(), RanksBefore);
-  SpreadOverZones(ranked);
   const auto wanted =
     std::max<std::size_t>(aGroup.mConnectionLimit / kConnectionsPerHome, kMinHomes);
+  const RankOrder ranksBefore(aLive);
+  KeepBest(ranked, wanted, zones.size() + 1, ranksBefore);
+  SpreadOverZones(ranked);
   ranked.resize(std::min(wanted, ranked.size()));
-  std::sort(ranked.begin(), ranked.end(), RanksBefore);
+  std::sort(ranked.begin(), ranked.end(), ranksBefore);
   std::vector<InstanceId> homes;
   for (const auto& candidate : ranked) {
-    homes.push_back(candidate.mInstance);
+    homes.push_back(aLive[candidate.mIndex].mInstance);
   }
   return homes;
 }
