Add the configuration and drain decision modules

Cause: operators' changes must be committed once, spread everywhere and never revert, and leaving servers and instances must get no new work. Change: configuration view, checks and effects of a change, the compare-and-set commit as a state machine, spread planning, drain phases and leaving marks. The commit reads head, group and request rows in this order, so that an absent request row after a moved head shows that a transaction without an answer can no longer take effect.

--- /dev/null
+++ b/tests/auto/configuration/tst_configurationview.cpp
@@ -0,0 +1,84 @@
+#include "decision/configuration/configurationview.h"
+#include "decision/configuration/spreadplanner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace std::chrono_literals;
+
+namespace {
+
+ConfigurationChange
+ChangeTo(const char* aGroup, std::uint64_t aRevision)
+{
+  ConfigurationChange change;
+  change.mRevision = aRevision;
+  change.mSettings.mGroup = GroupId(aGroup);
+  change.mSettings.mRevision = aRevision;
+  return change;
+}
+
+} // namespace
+
+// Guards against a configuration that reverts or skips a change.
+TEST_CASE("changes apply in order only and never backwards", "[configuration]")
+{
+  ConfigurationView view(2);
+  CHECK(view.Apply(ChangeTo("a", 1)) == ChangeOffer::Applied);
+  CHECK(view.Apply(ChangeTo("a", 3)) == ChangeOffer::Gap);
+  CHECK(view.Apply(ChangeTo("a", 1)) == ChangeOffer::Old);
+  CHECK(view.Apply(ChangeTo("b", 2)) == ChangeOffer::Applied);
+  CHECK(view.Apply(ChangeTo("a", 3)) == ChangeOffer::Applied);
+  CHECK(view.Find(GroupId("a"))->mRevision == 3);
+  CHECK_FALSE(view.ChangesAfter(0).has_value());
+  CHECK(view.ChangesAfter(1)->size() == 2);
+  CHECK(view.ChangesAfter(3)->empty());
+  CHECK(view.ChangesAfter(9)->empty());
+}
+
+TEST_CASE("a snapshot replaces a lower revision only", "[configuration]")
+{
+  ConfigurationView source(10);
+  source.Apply(ChangeTo("a", 1));
+  source.Apply(ChangeTo("b", 2));
+  ConfigurationView view(10);
+  CHECK(view.Load(source.Snapshot()));
+  CHECK_FALSE(view.Load(source.Snapshot()));
+  CHECK(view.Revision() == 2);
+  CHECK(view.Find(GroupId("b"))->mRevision == 2);
+  CHECK_FALSE(view.ChangesAfter(1).has_value());
+  CHECK(view.Apply(ChangeTo("a", 3)) == ChangeOffer::Applied);
+  CHECK(view.ChangesAfter(2)->size() == 1);
+}
+
+// Guards against a pull for each probe and against a pull that blocks the next for ever.
+TEST_CASE("a node that is behind pulls once at a time", "[configuration]")
+{
+  SpreadPlanner planner{ SpreadSettings() };
+  const TimePoint start(1h);
+  const InstanceId peer("p");
+  CHECK_FALSE(planner.NotePeerRevision(peer, 4, 4, start).has_value());
+  CHECK_FALSE(planner.NotePeerRevision(peer, 3, 4, start).has_value());
+  CHECK(planner.NotePeerRevision(peer, 6, 4, start)->mAfterRevision == 4);
+  CHECK_FALSE(planner.NotePeerRevision(peer, 6, 4, start + 999ms).has_value());
+  CHECK(planner.NotePeerRevision(peer, 6, 4, start + 1s).has_value());
+  planner.NotePullEnded();
+  CHECK(planner.NotePeerRevision(peer, 7, 6, start + 1s).has_value());
+}
+
+TEST_CASE("delegates read the log once a second and push to peers behind",
+          "[configuration]")
+{
+  SpreadPlanner planner{ SpreadSettings() };
+  const TimePoint start(1h);
+  CHECK_FALSE(planner.PollDue(false, start));
+  CHECK(planner.PollDue(true, start));
+  CHECK_FALSE(planner.PollDue(true, start + 999ms));
+  CHECK(planner.PollDue(true, start + 1s));
+  const std::vector<InstanceInfo> peers{ { InstanceId("p") }, { InstanceId("q") } };
+  planner.NotePeerRevision(InstanceId("p"), 5, 5, start);
+  CHECK(planner.PushTargets(peers, 5) == std::vector{ InstanceId("q") });
+  CHECK(planner.PushTargets(peers, 6).size() == 2);
+  planner.Forget(InstanceId("p"));
+  CHECK(planner.PushTargets(peers, 5).size() == 2);
+}
