--- a/src/libs/decision/failover/failoverrun.cpp
+++ b/src/libs/decision/failover/failoverrun.cpp
@@ -317,14 +317,13 @@
   }
   for (const FailoverMember& member : mSetup.mMembers) {
     const MemberId& id = member.mMember;
-    if (mStage == Stage::Confirm) {
-      aActions.emplace_back(SendStatus{ id });
-    } else if (mStage == Stage::Fence && !mFence->IsGrantedBy(id)) {
-      aActions.emplace_back(SendRaiseTerm{ id, mFence->Term(), mKeeperName });
-    } else if (mStage == Stage::Verify && id == mNewPrimary) {
+    const bool isLeader = mStage == Stage::Verify && id == mNewPrimary;
+    if (mStage == Stage::Confirm || isLeader) {
       aActions.emplace_back(SendStatus{ id });
     } else if (mStage == Stage::Verify) {
       aActions.emplace_back(SendFollow{ id, mFence->Term(), mNewPrimary });
+    } else if (mStage == Stage::Fence && !mFence->IsGrantedBy(id)) {
+      aActions.emplace_back(SendRaiseTerm{ id, mFence->Term(), mKeeperName });
     }
   }
   if (mStage == Stage::Confirm && mConfirmation.IsNeeded()) {
--- a/src/libs/decision/failover/groupkeeper.cpp
+++ b/src/libs/decision/failover/groupkeeper.cpp
@@ -59,6 +59,10 @@
     mRun.reset();
   }
   Decide(aNow, actions);
+  // The home that announced a view may have died before it was recorded.
+  if (mInput.mRank == 0 && !mInput.mView.mPrimary.IsEmpty()) {
+    mRecorder.Want(mInput.mView);
+  }
   if (const std::optional<RecordAction> record = mRecorder.Next(aNow)) {
     std::visit([&](const auto& aRecord) { actions.emplace_back(aRecord); }, *record);
   }
