--- a/src/libs/decision/routing/readchooser.cpp
+++ b/src/libs/decision/routing/readchooser.cpp
@@ -79,7 +79,8 @@
   const auto maxAge = MaxStaleness(aQuestion);
   const bool hasWritten = aQuestion.mSession != LogPosition{};
   const bool staysAtPrimary =
-    mSettings.mPolicy == ReadPolicy::PrimaryAfterWrite && hasWritten;
+    mSettings.mPolicy == ReadPolicy::PrimaryOnly ||
+    (mSettings.mPolicy == ReadPolicy::PrimaryAfterWrite && hasWritten);
   if (maxAge > Duration::zero() && !staysAtPrimary) {
     const auto replicas = Replicas(aQuestion, aFreshness);
     if (const auto serve = FreshReplica(aQuestion, aFreshness, replicas, maxAge)) {
--- a/src/libs/decision/routing/readchooser.h
+++ b/src/libs/decision/routing/readchooser.h
@@ -11,9 +11,11 @@
 
 namespace papayaspindle {
 
-/** How a session that wrote reads. */
+/** Where reads go. */
 enum class ReadPolicy : std::uint8_t
 {
+  /** Every read goes to the primary. */
+  PrimaryOnly,
   /** A session that wrote to the group reads from its primary. */
   PrimaryAfterWrite,
   /** A replica that is not known to be caught up is passed over. */
--- a/tests/auto/routing/tst_readchooser.cpp
+++ b/tests/auto/routing/tst_readchooser.cpp
@@ -148,6 +148,9 @@
         aScene.mSettings.mPolicy = ReadPolicy::PrimaryAfterWrite;
       },
       fromPrimary },
+    { "policy of the primary only",
+      [](Scene& aScene) { aScene.mSettings.mPolicy = ReadPolicy::PrimaryOnly; },
+      fromPrimary },
     { "replicas cut off: their age passes the rule",
       [](Scene& aScene) { aScene.mQuestion.mNow = kStart + 1100ms; },
       fromPrimary },
