Mark the term in the stand-in's log on promotion

Cause: after a failover no position of the new term was on a majority until the next write, so reads at the primary, repeated writes and outcome look-ups could not be proved. Change: the stand-in appends an entry without statements when it becomes primary, once for each term; indices in its tests move by one. Before: 1 entry after the first write of a term, after: 2. New case for a repeated Promote. 30 tests pass. Conclusion: the stand-in follows the interface of backend servers.

--- a/src/standin/memberstate.cpp
+++ b/src/standin/memberstate.cpp
@@ -92,13 +92,19 @@
 bool
 MemberState::Promote(std::uint64_t aTerm, const std::string& aKeeper)
 {
+  const bool ledBefore = IsPrimaryOf(aTerm);
   if (!mTerms.Promote(aTerm, aKeeper)) {
     return false;
   }
+  if (ledBefore) {
+    return true;
+  }
   while (mApplied < mLog.Last().mIndex) {
     ApplyNext();
   }
   mInStep = true;
+  // Makes the log before it certain once a majority holds an entry of the new term.
+  AppendOwn({}, {}, {}, 0);
   return true;
 }
 
