--- a/src/libs/transport/sessionstream.cpp
+++ b/src/libs/transport/sessionstream.cpp
@@ -10,12 +10,12 @@
 namespace {
 
 // Tags of a stream's operations; at most one of each is outstanding.
-enum Operation : std::uintptr_t
+enum class Operation : std::uintptr_t
 {
-  kStart = 1,
-  kWrite,
-  kRead,
-  kFinish,
+  Start = 1,
+  Write,
+  Read,
+  Finish,
 };
 
 void*
@@ -35,7 +35,7 @@
   mContext.AddMetadata(kFromMetadata, aInstance);
   mContext.set_wait_for_ready(false);
   mCall = mStub->PrepareAsyncSession(&mContext, &mQueue);
-  mCall->StartCall(Tag(kStart));
+  mCall->StartCall(Tag(Operation::Start));
 }
 
 SessionStream::~SessionStream()
@@ -43,7 +43,7 @@
   mContext.TryCancel();
   const std::lock_guard lock(mMutex);
   if (!mFinishing) {
-    mCall->Finish(&mStatus, Tag(kFinish));
+    mCall->Finish(&mStatus, Tag(Operation::Finish));
   }
   mQueue.Shutdown();
   void* tag = nullptr;
@@ -64,7 +64,7 @@
     mEnded = true;
     return Opening::Failed;
   }
-  mCall->Read(&mIncoming, Tag(kRead));
+  mCall->Read(&mIncoming, Tag(Operation::Read));
   return Opening::Ready;
 }
 
@@ -79,7 +79,7 @@
   mWaiting = true;
   mAnswered = false;
   mWriting = true;
-  mCall->Write(aRequest, Tag(kWrite));
+  mCall->Write(aRequest, Tag(Operation::Write));
   const auto deadline = SystemTime(aDeadline);
   while (mWriting || !(mAnswered || mEnded)) {
     if (!HandleNext(deadline)) {
@@ -100,7 +100,7 @@
 {
   mContext.TryCancel();
   if (!std::exchange(mFinishing, true)) {
-    mCall->Finish(&mStatus, Tag(kFinish));
+    mCall->Finish(&mStatus, Tag(Operation::Finish));
   }
   while (!mFinished && HandleNext(std::chrono::system_clock::time_point::max())) {
   }
@@ -144,16 +144,16 @@
     return false;
   }
   switch (static_cast<Operation>(reinterpret_cast<std::uintptr_t>(tag))) {
-    case kStart:
+    case Operation::Start:
       mStarted = ok;
       break;
-    case kWrite:
+    case Operation::Write:
       mWriting = false;
       break;
-    case kRead:
+    case Operation::Read:
       HandleRead(ok);
       break;
-    case kFinish:
+    case Operation::Finish:
       mFinished = true;
       break;
   }
@@ -174,7 +174,7 @@
   }
   mAnswer.Swap(&mIncoming);
   mAnswered = true;
-  mCall->Read(&mIncoming, Tag(kRead));
+  mCall->Read(&mIncoming, Tag(Operation::Read));
 }
 
 } // namespace papayaspindle
--- a/tests/auto/transport/backendfixture.h
+++ b/tests/auto/transport/backendfixture.h
@@ -10,6 +10,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace papayaspindle::test {
