--- a/src/libs/transport/http2callbacks.cpp
+++ b/src/libs/transport/http2callbacks.cpp
@@ -3,7 +3,6 @@
 #include "transport/peermessage.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 namespace papayaspindle {
@@ -29,7 +28,7 @@
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
   }
   const std::size_t count = std::min(aLength, stream->mOutgoing.size() - stream->mTaken);
-  std::memcpy(aBuffer, stream->mOutgoing.data() + stream->mTaken, count);
+  stream->mOutgoing.copy(reinterpret_cast<char*>(aBuffer), count, stream->mTaken);
   stream->mTaken += count;
   if (stream->mTaken == stream->mOutgoing.size()) {
     *aFlags |= NGHTTP2_DATA_FLAG_EOF | NGHTTP2_DATA_FLAG_NO_END_STREAM;
--- a/src/libs/transport/peerchannel.cpp
+++ b/src/libs/transport/peerchannel.cpp
@@ -79,7 +79,7 @@
 {
   std::array<char, kReadBytes> buffer{};
   while (!mClosed) {
-    const IoOutcome read = mSocket.Read(buffer);
+    const IoOutcome read = mLingering ? mSocket.Drain() : mSocket.Read(buffer);
     if (read.mKind == Kind::WantsRead) {
       return;
     }
@@ -87,15 +87,17 @@
       SetWatchWrite(true);
       return;
     }
+    if (read.mUntrusted && !mLingering) {
+      // The alert that tells the client why must not be lost to a reset.
+      End({ read.mMessage, true });
+      return;
+    }
     if (read.mKind != Kind::Progress) {
       Close({ read.mMessage, read.mUntrusted });
       return;
     }
     mCounters.mBytesIn += read.mCount;
     mLastReceived = Clock::now();
-    if (mLingering) {
-      continue;
-    }
     mInSession = true;
     const bool valid = mSession->Receive({ buffer.data(), read.mCount });
     mInSession = false;
@@ -133,23 +135,23 @@
   }
   SetWatchWrite(false);
   if (mSession->IsFinished()) {
-    HandleFinished();
+    End({ "the connection has ended", false });
   }
 }
 
 void
-PeerChannel::HandleFinished()
+PeerChannel::End(const ChannelEnd& aEnd)
 {
-  const ChannelEnd end{ "the connection has ended", false };
   if (mLinger.count() == 0) {
-    Close(end);
+    Close(aEnd);
     return;
   }
   mLingering = true;
+  SetWatchWrite(false);
   mSocket.EndSending();
-  mLoop.RunAt(Clock::now() + mLinger, [channel = weak_from_this(), end] {
+  mLoop.RunAt(Clock::now() + mLinger, [channel = weak_from_this(), aEnd] {
     if (const auto self = channel.lock()) {
-      self->Close(end);
+      self->Close(aEnd);
     }
   });
 }
--- a/src/libs/transport/peerchannel.h
+++ b/src/libs/transport/peerchannel.h
@@ -44,9 +44,9 @@
   void Close(const ChannelEnd& aEnd);
 
   /**
-   * When the session has finished: ends sending and waits for so long for the other side
-   * to close. Closing with unread bytes would reset the connection and could destroy
-   * answers that are still on their way.
+   * When the session has finished or a certificate is refused: ends sending and waits for
+   * so long for the other side to close. Closing with unread bytes would reset the
+   * connection and could destroy answers that are still on their way.
    */
   void SetLinger(std::chrono::milliseconds aTime) { mLinger = aTime; }
 
@@ -61,7 +61,8 @@
   void ReceiveAll();
   bool SendPending();
   void SetWatchWrite(bool aEnable);
-  void HandleFinished();
+  /** Closes, after the linger time when one is set. */
+  void End(const ChannelEnd& aEnd);
 
   IoLoop& mLoop;
   PeerSocket mSocket;
--- a/src/libs/transport/peersocket.cpp
+++ b/src/libs/transport/peersocket.cpp
@@ -5,11 +5,12 @@
 #include <Poco/Net/SSLException.h>
 #include <Poco/Net/SecureStreamSocket.h>
 
+#include <openssl/err.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
-#include <utility>
 
 namespace papayaspindle {
 
@@ -49,8 +50,8 @@
   return { Poco::Net::SecureStreamSocket::attach(aAccepted, aTls), true };
 }
 
-PeerSocket::PeerSocket(Poco::Net::StreamSocket aSocket, bool aTls)
-  : mSocket(std::move(aSocket))
+PeerSocket::PeerSocket(const Poco::Net::StreamSocket& aSocket, bool aTls)
+  : mSocket(aSocket)
   , mTls(aTls)
 {
   mSocket.setBlocking(false);
@@ -62,6 +63,11 @@
 PeerSocket::Try(Transfer aTransfer, IoOutcome::Kind aWhenBusy)
 {
   using Kind = IoOutcome::Kind;
+  if (mTls) {
+    // OpenSSL's error queue is the thread's; another connection's error in it would be
+    // taken for this one's.
+    ERR_clear_error();
+  }
   try {
     const int count = aTransfer();
     if (count > 0) {
@@ -123,6 +129,22 @@
   ::shutdown(mSocket.impl()->sockfd(), SHUT_WR);
 }
 
+IoOutcome
+PeerSocket::Drain()
+{
+  std::array<char, 4096> dropped{};
+  for (;;) {
+    const ssize_t count =
+      ::recv(mSocket.impl()->sockfd(), dropped.data(), dropped.size(), MSG_DONTWAIT);
+    if (count < 0 && errno == EAGAIN) {
+      return { IoOutcome::Kind::WantsRead, 0, {}, false };
+    }
+    if (count <= 0) {
+      return { IoOutcome::Kind::Ended, 0, "the connection has ended", false };
+    }
+  }
+}
+
 void
 PeerSocket::Close()
 {
--- a/src/libs/transport/peersocket.h
+++ b/src/libs/transport/peersocket.h
@@ -50,11 +50,13 @@
   std::string ConnectError();
   /** Tells the other side that nothing more will be sent. */
   void EndSending();
+  /** Reads and drops what has arrived, without TLS. @return WantsRead or Ended */
+  IoOutcome Drain();
   void Close();
   [[nodiscard]] const Poco::Net::StreamSocket& Socket() const { return mSocket; }
 
 private:
-  PeerSocket(Poco::Net::StreamSocket aSocket, bool aTls);
+  PeerSocket(const Poco::Net::StreamSocket& aSocket, bool aTls);
   template<typename Transfer>
   IoOutcome Try(Transfer aTransfer, IoOutcome::Kind aWhenBusy);
 
--- a/tests/auto/transport/backendfixture.h
+++ b/tests/auto/transport/backendfixture.h
@@ -72,11 +72,12 @@
   ScriptedBackend mBackend;
   ScriptedTable mTable;
 
-  GrpcFixture()
+  explicit GrpcFixture(const std::shared_ptr<grpc::ServerCredentials>& aCredentials =
+                         grpc::InsecureServerCredentials())
   {
     int port = 0;
     grpc::ServerBuilder builder;
-    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.AddListeningPort("127.0.0.1:0", aCredentials, &port);
     builder.RegisterService(&mBackend);
     builder.RegisterService(&mTable);
     mServer = builder.BuildAndStart();
