Explore the failover decisions under random faults

Cause: fault tables cover only the orders of events that somebody thought of. Change: tst_failoverexploration runs homes, members, writes and replication with seeded pauses, crashes, cuts, losses and duplicates. It checks after every step that no acknowledged write is missing from a primary whose term a majority holds, that a term has one primary, that an old primary acknowledges nothing, that no superseded view is announced, and that service is back within 7 s after the faults end.

--- a/tests/auto/failover/failoverworld.cpp
+++ b/tests/auto/failover/failoverworld.cpp
@@ -11,7 +11,6 @@
 
 constexpr Duration kTick = 50ms;
 constexpr Duration kPoll = 250ms;
-constexpr Duration kReplication = 20ms;
 
 } // namespace
 
@@ -33,8 +32,8 @@
   : mMembers(static_cast<std::size_t>(aMembers))
   , mHomes(mMembers.size())
   , mNodes(2 * mMembers.size())
-  , mRandom(aSeed)
   , mNetwork(aNetwork)
+  , mRandom(aSeed)
 {
   mMembers[0].mRole = MemberRole::Primary;
   mPromoted[1] = { 0, mNow };
@@ -64,7 +63,7 @@
     mNow = event.mAt;
     event.mCall();
     if (std::exchange(mChanged, false)) {
-      CheckPrimaries();
+      CheckPrimaries(mAcknowledged);
     }
   }
   mNow = end;
@@ -133,6 +132,19 @@
   aCall();
 }
 
+void
+FailoverWorld::Return(int aHome, Duration aAfter, const std::function<void()>& aCall)
+{
+  const int node = HomeNode(aHome);
+  At(aAfter, [=, this, starts = mNodes[node].mStarts] {
+    OnNode(node, [=, this] {
+      if (mNodes[node].mStarts == starts) {
+        aCall();
+      }
+    });
+  });
+}
+
 bool
 FailoverWorld::IsReachable(int aNode, int aOther) const
 {
@@ -175,26 +187,6 @@
   });
 }
 
-void
-FailoverWorld::TakeReports(int aHome, const MemberStatus& aStatus)
-{
-  Home& home = mHomes[aHome];
-  std::erase_if(home.mPending, [&](Write& aWrite) {
-    aWrite.mTracker.OnReport(
-      { aStatus.mMember, aStatus.mTerm, aStatus.mLast, aStatus.mAskedAt });
-    if (!aWrite.mTracker.IsAcknowledged()) {
-      return false;
-    }
-    if (aWrite.mLate) {
-      Violate(fmt::format("old primary acknowledges write {}", aWrite.mNumber));
-    }
-    mChanged = true;
-    mAcknowledged.insert(aWrite.mNumber);
-    mLastAcknowledgedSent = std::max(mLastAcknowledgedSent, aWrite.mAt);
-    return true;
-  });
-}
-
 void
 FailoverWorld::CarryOut(int aHome, const KeeperActions& aActions)
 {
@@ -205,6 +197,9 @@
     OnNode(HomeNode(aHome), [this, aHome, action] {
       std::visit([&](const auto& aAction) { Send(aHome, aAction); }, action);
     });
+    if (mAfterAction) {
+      mAfterAction(aHome, action);
+    }
   }
 }
 
@@ -236,6 +231,29 @@
   mNodes[aNode].mDeadSince = mNow;
 }
 
+void
+FailoverWorld::Restart(int aNode)
+{
+  mNodes[aNode] = { .mStarts = mNodes[aNode].mStarts + 1 };
+  if (aNode >= MemberCount()) {
+    StartHome(aNode - MemberCount());
+    return;
+  }
+  mMembers[aNode].mRole = MemberRole::Fenced;
+}
+
+void
+FailoverWorld::StartHome(int aHome)
+{
+  mHomes[aHome] = {};
+  mHomes[aHome].mView.mGroup = GroupId("g");
+  mHomes[aHome].mKeeper =
+    std::make_unique<GroupKeeper>(GroupId("g"),
+                                  InstanceId(fmt::format("h{}", aHome)),
+                                  KeeperSettings{},
+                                  std::mt19937_64(mRandom()));
+}
+
 void
 FailoverWorld::TickHome(int aHome)
 {
@@ -258,57 +276,6 @@
   });
 }
 
-void
-FailoverWorld::WriteFrom(int aHome)
-{
-  At(kTick + std::chrono::milliseconds(7 * aHome), [=, this] {
-    WriteFrom(aHome);
-    Home& home = mHomes[aHome];
-    const int target = NumberOf(home.mView.mPrimary.Text());
-    const Node& node = mNodes[HomeNode(aHome)];
-    const bool sends = mWriting && !node.mPaused && !node.mDead;
-    if (!sends || !IsReachable(HomeNode(aHome), target)) {
-      return;
-    }
-    OnNode(target, [=, this, sentAt = mNow, term = home.mView.mTerm] {
-      Member& member = mMembers[target];
-      if (member.mRole != MemberRole::Primary || member.mTerm != term) {
-        return;
-      }
-      const LogPosition position{ term, member.mLog.size() + 1 };
-      const bool late = 2 * MembersInTerm(term + 1, true) > MemberCount();
-      member.mLog.push_back({ position, ++mWrites });
-      const auto members = static_cast<std::size_t>(MemberCount());
-      mHomes[aHome].mPending.push_back(
-        { mWrites, sentAt, AckTracker(MemberName(target), position, members), late });
-    });
-  });
-}
-
-void
-FailoverWorld::Replicate()
-{
-  At(kReplication, [this] {
-    Replicate();
-    for (int i = 0; i < MemberCount(); ++i) {
-      Member& replica = mMembers[i];
-      const Member& primary = mMembers[replica.mPrimary];
-      const bool linked =
-        replica.mRole == MemberRole::Replica && primary.mRole == MemberRole::Primary &&
-        replica.mTerm == primary.mTerm && !mNodes[i].mPaused && !mNodes[i].mDead &&
-        !mNodes[replica.mPrimary].mPaused && !mNodes[replica.mPrimary].mDead &&
-        IsReachable(i, replica.mPrimary);
-      if (!linked || Chance(mNetwork.mLossPercent)) {
-        continue;
-      }
-      replica.mHeard = mNow;
-      if (!replica.mLagging) {
-        replica.mLog = primary.mLog;
-      }
-    }
-  });
-}
-
 int
 FailoverWorld::MembersInTerm(std::uint64_t aTerm, bool aOrHigher) const
 {
@@ -327,22 +294,21 @@
 }
 
 void
-FailoverWorld::CheckPrimaries()
+FailoverWorld::CheckPrimaries(const std::set<int>& aWrites)
 {
   for (const Member& member : mMembers) {
     const bool leads = member.mRole == MemberRole::Primary &&
                        2 * MembersInTerm(member.mTerm, false) > MemberCount();
-    if (!leads) {
-      continue;
-    }
     // A log holds writes in the order in which they were numbered.
-    std::vector<int> held;
-    std::transform(member.mLog.begin(),
-                   member.mLog.end(),
-                   std::back_inserter(held),
-                   [](const Entry& aEntry) { return aEntry.mWrite; });
-    if (!std::includes(
-          held.begin(), held.end(), mAcknowledged.begin(), mAcknowledged.end())) {
+    const auto holds = [&](int aWrite) {
+      return std::binary_search(member.mLog.begin(),
+                                member.mLog.end(),
+                                Entry{ {}, aWrite },
+                                [](const Entry& aLeft, const Entry& aRight) {
+                                  return aLeft.mWrite < aRight.mWrite;
+                                });
+    };
+    if (leads && !std::all_of(aWrites.begin(), aWrites.end(), holds)) {
       Violate(fmt::format("acknowledged write lost in term {}", member.mTerm));
     }
   }
--- a/tests/auto/failover/failoverworld.h
+++ b/tests/auto/failover/failoverworld.h
@@ -62,7 +62,6 @@
     std::unique_ptr<papayaspindle::GroupKeeper> mKeeper;
     papayaspindle::GroupView mView;
     std::vector<Write> mPending;
-    std::set<int> mPolling;
   };
 
   /** A paused node handles nothing and keeps what arrives; a dead one refuses. */
@@ -71,6 +70,7 @@
     bool mPaused = false;
     bool mDead = false;
     papayaspindle::TimePoint mDeadSince;
+    int mStarts = 0;
     std::vector<std::function<void()>> mKept;
   };
 
@@ -86,6 +86,8 @@
 
   void RunFor(papayaspindle::Duration aTime);
   void Kill(int aNode);
+  /** A member comes back with its log and without a role, a home without any state. */
+  void Restart(int aNode);
   void SetPaused(int aNode, bool aPaused);
   /** Cuts or restores the link between two nodes. */
   void SetCut(int aNode, int aOther, bool aCut);
@@ -101,8 +103,10 @@
   std::vector<Home> mHomes;
   std::vector<Node> mNodes;
   Store mStore;
-  /** Called before a home carries an action out. */
+  NetworkSettings mNetwork;
+  /** Called before and after a home carries an action out. */
   std::function<void(int, const papayaspindle::KeeperAction&)> mOnAction;
+  std::function<void(int, const papayaspindle::KeeperAction&)> mAfterAction;
   /** Acknowledged writes, and when the last of them was sent. */
   std::set<int> mAcknowledged;
   papayaspindle::TimePoint mLastAcknowledgedSent;
@@ -116,6 +120,10 @@
 
   void At(papayaspindle::Duration aAfter, std::function<void()> aCall);
   void OnNode(int aNode, const std::function<void()>& aCall);
+  /** Hands something to a home, unless it restarts before. */
+  void Return(int aHome,
+              papayaspindle::Duration aAfter,
+              const std::function<void()>& aCall);
   bool IsReachable(int aNode, int aOther) const;
   papayaspindle::Duration Delay();
   bool Chance(int aPercent);
@@ -137,13 +145,15 @@
   void Send(int aHome, const papayaspindle::ReadRecord& aAction);
   void Send(int aHome, const papayaspindle::WriteRecord& aAction);
   void OfferView(int aHome, const papayaspindle::GroupView& aView);
+  void StartHome(int aHome);
   int RankOf(int aHome) const;
   void TickHome(int aHome);
   void WriteFrom(int aHome);
   void Replicate();
   int MembersInTerm(std::uint64_t aTerm, bool aOrHigher) const;
   void Violate(const std::string& aText);
-  void CheckPrimaries();
+  /** Checks that primaries whose term a majority holds have these writes. */
+  void CheckPrimaries(const std::set<int>& aWrites);
   void CheckAnnounced(int aHome, const papayaspindle::GroupView& aView);
 
   struct Event
@@ -158,12 +168,11 @@
   };
 
   std::mt19937_64 mRandom;
-  NetworkSettings mNetwork;
   std::priority_queue<Event> mEvents;
   std::uint64_t mOrder = 0;
   std::set<std::pair<int, int>> mCuts;
   int mWrites = 0;
-  /** An acknowledgement, a term or a role changed in this step. */
+  /** A term or a role changed in this step. */
   bool mChanged = false;
   std::map<std::uint64_t, std::pair<int, papayaspindle::TimePoint>> mPromoted;
 };
--- a/tests/auto/failover/failoverworldcalls.cpp
+++ b/tests/auto/failover/failoverworldcalls.cpp
@@ -28,9 +28,8 @@
     }
   };
   const bool refused = mNodes[aMember].mDead && IsReachable(HomeNode(aHome), aMember);
-  At(refused ? Delay() : kCallTimeout, [this, aHome, refused, fail] {
-    OnNode(HomeNode(aHome),
-           [=] { fail(refused ? PollFailure::Refused : PollFailure::Silent); });
+  Return(aHome, refused ? Delay() : kCallTimeout, [refused, fail] {
+    fail(refused ? PollFailure::Refused : PollFailure::Silent);
   });
   const auto replied = [answered, askedAt, aReplied](ControlReply aReply) {
     *answered = true;
@@ -52,13 +51,16 @@
   if (!IsReachable(HomeNode(aHome), aMember) || Chance(mNetwork.mLossPercent)) {
     return;
   }
-  const auto answer = [this, aHome, aMember, aHandler, aReplied] {
+  const auto starts = mNodes[HomeNode(aHome)].mStarts;
+  const auto answer = [=, this] {
     const std::pair before(mMembers[aMember].mTerm, mMembers[aMember].mRole);
     ControlReply reply = aHandler(mMembers[aMember], aMember);
     mChanged |= before != std::pair(mMembers[aMember].mTerm, mMembers[aMember].mRole);
     reply.mStatus = StatusOf(aMember);
-    if (IsReachable(HomeNode(aHome), aMember) && !Chance(mNetwork.mLossPercent)) {
-      At(Delay(), [=, this] { OnNode(HomeNode(aHome), [=] { aReplied(reply); }); });
+    const bool arrives =
+      IsReachable(HomeNode(aHome), aMember) && mNodes[HomeNode(aHome)].mStarts == starts;
+    if (arrives && !Chance(mNetwork.mLossPercent)) {
+      Return(aHome, Delay(), [=] { aReplied(reply); });
     }
   };
   At(Delay(), [this, aMember, answer] { OnNode(aMember, answer); });
@@ -143,12 +145,14 @@
     return;
   }
   const MemberId suspect = mHomes[aHome].mView.mPrimary;
+  const auto starts = mNodes[HomeNode(aHome)].mStarts;
   const auto ask = [=, this] {
+    if (mNodes[HomeNode(aHome)].mStarts != starts) {
+      return;
+    }
     const ConfirmationReply reply = mHomes[other].mKeeper->Confirm(suspect, mNow);
-    At(Delay(), [=, this] {
-      OnNode(HomeNode(aHome), [=, this] {
-        CarryOut(aHome, mHomes[aHome].mKeeper->OnConfirmation(reply, mNow));
-      });
+    Return(aHome, Delay(), [=, this] {
+      CarryOut(aHome, mHomes[aHome].mKeeper->OnConfirmation(reply, mNow));
     });
   };
   At(Delay(), [=, this] { OnNode(HomeNode(other), ask); });
@@ -172,15 +176,13 @@
 FailoverWorld::Send(int aHome, const ReadRecord& /*aAction*/)
 {
   const bool down = mStore.mDown;
-  At(std::chrono::milliseconds(mStore.mDelayMs), [=, this] {
-    OnNode(HomeNode(aHome), [=, this] {
-      GroupKeeper& keeper = *mHomes[aHome].mKeeper;
-      if (down) {
-        keeper.OnRecordFailure(mNow);
-      } else {
-        CarryOut(aHome, keeper.OnRecordRow(mStore.mRow, mNow));
-      }
-    });
+  Return(aHome, std::chrono::milliseconds(mStore.mDelayMs), [=, this] {
+    GroupKeeper& keeper = *mHomes[aHome].mKeeper;
+    if (down) {
+      keeper.OnRecordFailure(mNow);
+    } else {
+      CarryOut(aHome, keeper.OnRecordRow(mStore.mRow, mNow));
+    }
   });
 }
 
@@ -197,16 +199,14 @@
     mStore.mRow = { aAction.mView, mStore.mRow.mVersion + 1 };
   }
   const RecordedView row = mStore.mRow;
-  At(std::chrono::milliseconds(mStore.mDelayMs), [=, this] {
-    OnNode(HomeNode(aHome), [=, this] {
-      GroupKeeper& keeper = *mHomes[aHome].mKeeper;
-      if (lost) {
-        keeper.OnRecordFailure(mNow);
-      } else if (committed) {
-        keeper.OnRecordCommitted(mNow);
-      } else {
-        CarryOut(aHome, keeper.OnRecordRow(row, mNow));
-      }
-    });
+  Return(aHome, std::chrono::milliseconds(mStore.mDelayMs), [=, this] {
+    GroupKeeper& keeper = *mHomes[aHome].mKeeper;
+    if (lost) {
+      keeper.OnRecordFailure(mNow);
+    } else if (committed) {
+      keeper.OnRecordCommitted(mNow);
+    } else {
+      CarryOut(aHome, keeper.OnRecordRow(row, mNow));
+    }
   });
 }
