--- a/src/libs/decision/membership/delegatechooser.cpp
+++ b/src/libs/decision/membership/delegatechooser.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 
 namespace papayaspindle {
 
@@ -12,12 +13,10 @@
 
 constexpr std::uint64_t kRankSeed = 3;
 
-bool
-RanksBefore(const InstanceInfo& aLeft, const InstanceInfo& aRight)
+std::uint64_t
+RankOf(const InstanceInfo& aInstance)
 {
-  const std::uint64_t left = StableHash(aLeft.mInstance.Text(), kRankSeed);
-  const std::uint64_t right = StableHash(aRight.mInstance.Text(), kRankSeed);
-  return std::tie(left, aLeft.mInstance) < std::tie(right, aRight.mInstance);
+  return StableHash(aInstance.mInstance.Text(), kRankSeed);
 }
 
 } // namespace
@@ -25,12 +24,17 @@
 std::map<AvailabilityZone, std::vector<InstanceInfo>>
 RankByZone(std::span<const InstanceInfo> aLive)
 {
-  std::map<AvailabilityZone, std::vector<InstanceInfo>> zones;
+  std::vector<std::pair<std::uint64_t, const InstanceInfo*>> order;
   for (const InstanceInfo& instance : aLive) {
-    zones[instance.mAvailabilityZone].push_back(instance);
+    order.emplace_back(RankOf(instance), &instance);
   }
-  for (auto& [zone, instances] : zones) {
-    std::sort(instances.begin(), instances.end(), RanksBefore);
+  std::sort(order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
+    return std::tie(aLeft.first, aLeft.second->mInstance) <
+           std::tie(aRight.first, aRight.second->mInstance);
+  });
+  std::map<AvailabilityZone, std::vector<InstanceInfo>> zones;
+  for (const auto& [rank, instance] : order) {
+    zones[instance->mAvailabilityZone].push_back(*instance);
   }
   return zones;
 }
@@ -38,10 +42,14 @@
 bool
 IsDelegate(const InstanceInfo& aInstance, std::span<const InstanceInfo> aLive)
 {
+  const std::uint64_t own = RankOf(aInstance);
   const auto before =
     std::count_if(aLive.begin(), aLive.end(), [&](const InstanceInfo& aOther) {
-      return aOther.mAvailabilityZone == aInstance.mAvailabilityZone &&
-             RanksBefore(aOther, aInstance);
+      if (aOther.mAvailabilityZone != aInstance.mAvailabilityZone) {
+        return false;
+      }
+      const std::uint64_t other = RankOf(aOther);
+      return std::tie(other, aOther.mInstance) < std::tie(own, aInstance.mInstance);
     });
   return static_cast<std::size_t>(before) < kDelegatesPerZone;
 }
--- a/src/libs/decision/membership/instancetable.cpp
+++ b/src/libs/decision/membership/instancetable.cpp
@@ -171,6 +171,7 @@
   entry.mHeard = true;
   entry.mSilentHere = entry.mSilentHere && !newer && !dead;
   entry.mSince = aNow;
+  ++mVersion;
   return entry.mInfo;
 }
 
@@ -250,6 +251,7 @@
       entry.mInfo.mLiveness = Liveness::Dead;
       entry.mSilentHere = false;
       entry.mSince = aNow;
+      ++mVersion;
       died.push_back(entry.mInfo);
     }
     const bool dead = entry.mInfo.mLiveness == Liveness::Dead;
@@ -274,6 +276,7 @@
 InstanceTable::MarkSelfLeaving()
 {
   mSelf.mLiveness = Liveness::Leaving;
+  ++mVersion;
   return mSelf;
 }
 
@@ -298,6 +301,7 @@
   }
   entry.mInfo.mLiveness = Liveness::Leaving;
   entry.mSince = aNow;
+  ++mVersion;
   if (!entry.mHeard) {
     return std::nullopt;
   }
--- a/src/libs/decision/membership/instancetable.h
+++ b/src/libs/decision/membership/instancetable.h
@@ -50,6 +50,8 @@
   InstanceTable(InstanceInfo aSelf, MembershipSettings aSettings);
 
   [[nodiscard]] const InstanceInfo& Self() const { return mSelf; }
+  /** @return a number that rises whenever the set of live instances may have changed */
+  [[nodiscard]] std::uint64_t Version() const { return mVersion; }
   [[nodiscard]] const std::map<InstanceId, InstanceEntry>& Entries() const
   {
     return mEntries;
@@ -120,6 +122,7 @@
   InstanceInfo mSelf;
   MembershipSettings mSettings;
   std::map<InstanceId, InstanceEntry> mEntries;
+  std::uint64_t mVersion = 1;
 };
 
 } // namespace papayaspindle
--- a/src/libs/decision/membership/membership.cpp
+++ b/src/libs/decision/membership/membership.cpp
@@ -19,15 +19,22 @@
 }
 
 bool
-Membership::IsZoneDelegate() const
+Membership::IsZoneDelegate()
 {
-  return mTable.Self().mLiveness == Liveness::Alive &&
-         IsDelegate(mTable.Self(), mTable.Live());
+  if (mDelegateVersion != mTable.Version()) {
+    mDelegateVersion = mTable.Version();
+    mDelegate = mTable.Self().mLiveness == Liveness::Alive &&
+                IsDelegate(mTable.Self(), mTable.Live());
+  }
+  return mDelegate;
 }
 
 bool
-Membership::MayActAsKeeper() const
+Membership::MayActAsKeeper(TimePoint aNow) const
 {
+  if (mPause.IsOverdue(aNow)) {
+    return false;
+  }
   if (!mPause.UnconfirmedSince()) {
     return true;
   }
@@ -195,6 +202,20 @@
   return actions;
 }
 
+void
+Membership::AbandonProbe(ProbeId aProbe)
+{
+  const auto found = mFlights.find(aProbe);
+  if (found == mFlights.end()) {
+    return;
+  }
+  // Without this helper's verdict the target is not suspected in this round.
+  if (found->second.mKind == ProbeKind::Indirect) {
+    mIndirect.erase(found->second.mTarget);
+  }
+  mFlights.erase(found);
+}
+
 void
 Membership::SendIndirect(const InstanceId& aTarget,
                          TimePoint aNow,
@@ -311,10 +332,12 @@
 void
 Membership::SpreadUrgently(const InstanceInfo& aChanged, bool aOriginated, TimePoint aNow)
 {
-  const std::vector<InstanceInfo> live = mTable.Live();
+  const bool delegate = IsZoneDelegate();
+  if (!delegate && !aOriginated) {
+    return;
+  }
   const AvailabilityZone& ownZone = mTable.Self().mAvailabilityZone;
-  const bool delegate = IsDelegate(mTable.Self(), live);
-  for (const auto& [zone, ranked] : RankByZone(live)) {
+  for (const auto& [zone, ranked] : RankByZone(mTable.Live())) {
     const bool wholeZone = delegate && zone == ownZone;
     const std::size_t delegates = aOriginated ? kDelegatesPerZone : 0;
     for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
--- a/src/libs/decision/membership/membership.h
+++ b/src/libs/decision/membership/membership.h
@@ -48,16 +48,18 @@
                                 const ProbeMessage& aReply,
                                 TimePoint aNow);
   MembershipActions HandleSilence(ProbeId aProbe, TimePoint aNow);
+  /** The probe was not sent; nothing follows from it. */
+  void AbandonProbe(ProbeId aProbe);
   MembershipActions HandleListing(std::span<const ListedCandidate> aListed,
                                   TimePoint aNow);
   MembershipActions AnnounceLeaving(TimePoint aNow);
 
   [[nodiscard]] const InstanceTable& Table() const { return mTable; }
   /** @return whether this instance is a delegate of its zone */
-  [[nodiscard]] bool IsZoneDelegate() const;
+  [[nodiscard]] bool IsZoneDelegate();
   /** @return whether this instance may act as keeper; false after a pause until a peer
    * answered, unless no other instance is live */
-  [[nodiscard]] bool MayActAsKeeper() const;
+  [[nodiscard]] bool MayActAsKeeper(TimePoint aNow) const;
 
 private:
   struct Flight
@@ -101,6 +103,9 @@
   ProbeScheduler mScheduler;
   PauseDetector mPause;
   ProbeId mLastProbe = 0;
+  /** Result of IsZoneDelegate() at a version of the table. */
+  bool mDelegate = false;
+  std::uint64_t mDelegateVersion = 0;
   std::map<ProbeId, Flight> mFlights;
   /** Indirect probes of a target that have not ended. */
   std::map<InstanceId, std::size_t> mIndirect;
--- a/src/libs/decision/membership/pausedetector.cpp
+++ b/src/libs/decision/membership/pausedetector.cpp
@@ -13,6 +13,12 @@
   return paused;
 }
 
+bool
+PauseDetector::IsOverdue(TimePoint aNow) const
+{
+  return mLastTick && aNow - *mLastTick > mGap;
+}
+
 void
 PauseDetector::NoteAnswer(TimePoint aSent)
 {
--- a/src/libs/decision/membership/pausedetector.h
+++ b/src/libs/decision/membership/pausedetector.h
@@ -27,6 +27,8 @@
   bool Tick(TimePoint aNow);
   /** @param aSent when the probe that a peer answered was sent */
   void NoteAnswer(TimePoint aSent);
+  /** @return whether a pause ended just now and its tick has not run yet */
+  [[nodiscard]] bool IsOverdue(TimePoint aNow) const;
   /** @return when the last pause ended, until a peer answered */
   [[nodiscard]] std::optional<TimePoint> UnconfirmedSince() const { return mResumed; }
 
--- a/src/libs/interfaces/configuration.h
+++ b/src/libs/interfaces/configuration.h
@@ -16,7 +16,7 @@
    * Checks a change and commits it to the table service.
    *
    * Errors in the reply: MalformedRequest, InvalidChange, RevisionConflict,
-   * StoreUnavailable, OutcomeUnknown.
+   * RequestIdConflict, StoreUnavailable, OutcomeUnknown.
    *
    * @param aRequest the change, with expected revision and request id
    * @param aCreate whether the group must not exist yet
--- a/tests/auto/membership/tst_membership.cpp
+++ b/tests/auto/membership/tst_membership.cpp
@@ -135,17 +135,18 @@
   network.StartZones(2, 4);
   network.Run(10s);
   const Membership& node = *network.mNodes[kFirst];
-  CHECK(node.MayActAsKeeper());
+  CHECK(node.MayActAsKeeper(network.mNow));
   network.mPaused.insert(kFirst);
   network.Run(4s);
   network.mPaused.erase(kFirst);
+  CHECK_FALSE(node.MayActAsKeeper(network.mNow));
   network.mLoss = 1;
   network.Run(400ms);
-  CHECK_FALSE(node.MayActAsKeeper());
+  CHECK_FALSE(node.MayActAsKeeper(network.mNow));
   CHECK(node.Table().Live().size() == 8);
   network.mLoss = 0;
   network.Run(2s);
-  CHECK(node.MayActAsKeeper());
+  CHECK(node.MayActAsKeeper(network.mNow));
   network.RunUntil(30s, [&] { return network.AllCount(8); });
   CHECK(network.AllCount(8));
 }
