Add admission: queue, connection health and pool planner

Cause: requests that wait past their deadline cost a slot for nothing, and open connections can go silent together.

Change: a bounded queue for each member in which callers take turns, a quarter of the places is kept for writes, and a request is refused when the predicted wait and its own service time pass the deadline; health of connections with siblings in doubt; a planner that stays within the allowance and opens two connections at once at most.

--- /dev/null
+++ b/tests/auto/admission/tst_admissionqueue.cpp
@@ -0,0 +1,140 @@
+#include "decision/admission/admissionqueue.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+using namespace papayaspindle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const CallerId kBusy("busy");
+const CallerId kQuiet("quiet");
+
+/** One member with a fixed service time, on simulated time in steps of 1 ms. */
+struct Simulation
+{
+  AdmissionQueue mQueue{ AdmissionSettings{ 64, 10ms } };
+  TimePoint mNow;
+  std::map<TicketId, std::pair<CallerId, TimePoint>> mEntered;
+  std::multimap<TimePoint, TimePoint> mRunning;
+  std::map<CallerId, Duration> mLongestWait;
+  int mServed = 0;
+  int mRefused = 0;
+  int mExpired = 0;
+
+  Simulation() { mQueue.SetServers(2); }
+
+  std::uint32_t Idle() const { return 2 - static_cast<std::uint32_t>(mRunning.size()); }
+
+  void Enter(const CallerId& aCaller, bool aWrite)
+  {
+    const auto result = mQueue.Enter({ aCaller, aWrite, mNow + 200ms }, Idle(), mNow);
+    if (!IsOk(result)) {
+      CHECK(ErrorOf(result).mKind == ErrorKind::Overloaded);
+      ++mRefused;
+      return;
+    }
+    mEntered[ValueOf(result)] = { aCaller, mNow };
+  }
+
+  void Step()
+  {
+    mNow += 1ms;
+    while (!mRunning.empty() && mRunning.begin()->first <= mNow) {
+      mQueue.OnServed(mNow - mRunning.begin()->second);
+      mRunning.erase(mRunning.begin());
+      ++mServed;
+    }
+    mExpired += static_cast<int>(mQueue.Expire(mNow).size());
+    while (mRunning.size() < 2) {
+      const auto ticket = mQueue.Next();
+      if (!ticket) {
+        return;
+      }
+      const auto& [caller, entered] = mEntered[*ticket];
+      mLongestWait[caller] = std::max(mLongestWait[caller], mNow - entered);
+      mRunning.insert({ mNow + 10ms, mNow });
+    }
+  }
+};
+
+} // namespace
+
+// Guards against requests that wait only to miss their deadline, and against slots that
+// stay idle under overload.
+TEST_CASE("overload is refused early and the slots stay busy", "[admission]")
+{
+  Simulation simulation;
+  for (int ms = 0; ms < 5000; ++ms) {
+    simulation.Enter(kBusy, ms % 4 == 0);
+    simulation.Step();
+  }
+  // Two slots serve 200 requests a second, a fifth of what is offered.
+  CHECK(simulation.mServed >= 990);
+  CHECK(simulation.mExpired <= simulation.mServed / 100);
+  CHECK(simulation.mRefused > 3900);
+  CHECK(simulation.mLongestWait[kBusy] <= 200ms);
+}
+
+// Guards against a caller that starves the others by sending more.
+TEST_CASE("a quiet caller waits one turn behind a busy one", "[admission]")
+{
+  Simulation simulation;
+  for (int ms = 0; ms < 2000; ++ms) {
+    simulation.Enter(kBusy, false);
+    if (ms % 100 == 50) {
+      simulation.Enter(kQuiet, false);
+    }
+    simulation.Step();
+  }
+  // At most both running requests and one turn of the other caller are ahead.
+  CHECK(simulation.mLongestWait[kQuiet] <= 20ms);
+  CHECK(simulation.mLongestWait[kBusy] > 100ms);
+  CHECK(simulation.mServed > 390);
+}
+
+// Guards against reads that leave no place for writes.
+TEST_CASE("a quarter of the places is kept for writes", "[admission]")
+{
+  AdmissionQueue queue(AdmissionSettings{ 8, 1us });
+  const TimePoint now;
+  const TimePoint deadline = now + 1s;
+  for (int i = 0; i < 6; ++i) {
+    CHECK(IsOk(queue.Enter({ kBusy, false, deadline }, 0, now)));
+  }
+  CHECK_FALSE(IsOk(queue.Enter({ kQuiet, false, deadline }, 0, now)));
+  CHECK(IsOk(queue.Enter({ kBusy, true, deadline }, 0, now)));
+  CHECK(IsOk(queue.Enter({ kBusy, true, deadline }, 0, now)));
+  const auto full = queue.Enter({ kBusy, true, deadline }, 0, now);
+  REQUIRE_FALSE(IsOk(full));
+  CHECK(ErrorOf(full).mKind == ErrorKind::Overloaded);
+}
+
+// Guards against an order that ignores turns or deadlines, and against expired tickets
+// that are served.
+TEST_CASE("callers take turns and each goes by deadline", "[admission]")
+{
+  AdmissionQueue queue(AdmissionSettings{ 16, 1us });
+  const TimePoint now;
+  const auto enter = [&](const CallerId& aCaller, Duration aLeft) {
+    return ValueOf(queue.Enter({ aCaller, false, now + aLeft }, 0, now));
+  };
+  const TicketId late = enter(kBusy, 900ms);
+  const TicketId soon = enter(kBusy, 300ms);
+  const TicketId expired = enter(kBusy, 100ms);
+  const TicketId quiet = enter(kQuiet, 800ms);
+  const TicketId left = enter(kQuiet, 700ms);
+  CHECK(queue.Leave(left));
+  CHECK_FALSE(queue.Leave(left));
+  CHECK(queue.Expire(now + 100ms) == std::vector<TicketId>{ expired });
+  CHECK(queue.Next() == soon);
+  CHECK(queue.Next() == quiet);
+  CHECK(queue.Next() == late);
+  CHECK_FALSE(queue.Next());
+  const auto past = queue.Enter({ kBusy, false, now }, 1, now);
+  CHECK(ErrorOf(past).mKind == ErrorKind::DeadlineBeforeStart);
+}
--- /dev/null
+++ b/tests/auto/admission/tst_pool.cpp
@@ -0,0 +1,109 @@
+#include "decision/admission/connectionhealth.h"
+#include "decision/admission/poolplanner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const MemberId kA("a");
+const MemberId kB("b");
+
+struct PoolCase
+{
+  const char* mFailure;
+  PoolState mState;
+  std::vector<PoolStep> mSteps;
+  std::uint32_t mDemand;
+};
+
+} // namespace
+
+// Guards against a connection that is used after it stopped answering, and against
+// working connections closed with the silent one.
+TEST_CASE("silence condemns a connection and puts its siblings in doubt", "[admission]")
+{
+  ConnectionHealth health;
+  const TimePoint start;
+  for (const ConnectionHealth::Key key : { 1, 2, 3 }) {
+    health.OnOpened(key, kA, start);
+  }
+  health.OnOpened(4, kB, start);
+  health.OnSent(1, start + 1s);
+  health.OnAnswer(3, start + 2s);
+  health.OnOpened(5, kA, start + 2s);
+  health.Condemn(1, Condemnation::Silent);
+  health.Condemn(1, Condemnation::Unclean);
+  CHECK(health.ReasonOf(1) == Condemnation::Silent);
+  CHECK(health.NextUse(1) == ConnectionUse::Close);
+  CHECK(health.NextUse(2) == ConnectionUse::ProbeFirst);
+  CHECK(health.NextUse(3) == ConnectionUse::Use);
+  CHECK(health.NextUse(4) == ConnectionUse::Use);
+  CHECK(health.NextUse(5) == ConnectionUse::Use);
+  health.OnAnswer(2, start + 3s);
+  CHECK(health.NextUse(2) == ConnectionUse::Use);
+  health.OnClosed(2);
+  CHECK(health.NextUse(2) == ConnectionUse::Close);
+}
+
+// Guards against a connection that is used after an answer that cannot be trusted.
+TEST_CASE("a bad answer condemns its connection only", "[admission]")
+{
+  const auto reason = GENERATE(Condemnation::SequenceMismatch,
+                               Condemnation::Truncated,
+                               Condemnation::Oversized,
+                               Condemnation::Lost,
+                               Condemnation::Unclean);
+  ConnectionHealth health;
+  health.OnOpened(1, kA, TimePoint());
+  health.OnOpened(2, kA, TimePoint());
+  health.Condemn(1, reason);
+  CHECK(health.NextUse(1) == ConnectionUse::Close);
+  CHECK(health.NextUse(2) == ConnectionUse::Use);
+}
+
+TEST_CASE("the pool follows allowance, demand and slots", "[admission]")
+{
+  const std::vector<PoolCase> cases{
+    { "a cold pool that waits for its first request",
+      { 8, 2, { { kA }, { kB } } },
+      { { kA, 1, 0 }, { kB, 1, 0 } },
+      2 },
+    { "more than two openings at once",
+      { 8, 4, { { kA, true, 0, 0, 1, 4 }, { kB } } },
+      { { kA, 1, 0 } },
+      6 },
+    { "openings beyond the slots of the member",
+      { 9, 2, { { kA, true, 1, 0, 3, 50 }, { kB, true, 0, 1, 0, 0 } } },
+      {},
+      5 },
+    { "openings beyond the allowance",
+      { 3, 4, { { kA, true, 2, 0, 0, 4 }, { kB, true, 0, 1, 0, 0 } } },
+      { { kB, 0, 1 } },
+      8 },
+    { "connections in use that are closed when the allowance shrinks",
+      { 1, 4, { { kA, true, 3, 0, 0, 0 }, { kB, true, 0, 2, 0, 0 } } },
+      { { kB, 0, 2 } },
+      5 },
+    { "idle connections closed without need",
+      { 8, 2, { { kA, true, 0, 5, 0, 0 }, { kB, true, 0, 1, 0, 0 } } },
+      {},
+      2 },
+    { "a leaving member that keeps or gets connections",
+      { 8, 2, { { kA, false, 1, 2, 0, 3 }, { kB, true, 0, 1, 0, 0 } } },
+      { { kA, 0, 2 } },
+      2 },
+    { "nothing usable, so nothing opened",
+      { 0, 2, { { kA, true, 0, 0, 0, 1 } } },
+      {},
+      2 },
+  };
+  for (const PoolCase& c : cases) {
+    INFO(c.mFailure);
+    const PoolPlan plan = PlanPool(c.mState);
+    CHECK(plan.mSteps == c.mSteps);
+    CHECK(plan.mDemand == c.mDemand);
+  }
+}
