Count closing connections and take the time of the silent request

Cause: a connection counts at the member until it is closed there, and the health of siblings depends on when the unanswered request was sent.

Change: the planner counts connections that are being closed; condemnation takes the time of sending; AcquireRequest carries a trace context; the interface of a member connection names the errors after which it stays usable.

--- a/src/libs/decision/admission/connectionhealth.cpp
+++ b/src/libs/decision/admission/connectionhealth.cpp
@@ -8,7 +8,6 @@
   Entry entry;
   entry.mMember = aMember;
   entry.mOpenedAt = aNow;
-  entry.mSentAt = aNow;
   entry.mAnsweredAt = aNow;
   mEntries[aConnection] = entry;
 }
@@ -19,15 +18,6 @@
   mEntries.erase(aConnection);
 }
 
-void
-ConnectionHealth::OnSent(Key aConnection, TimePoint aNow)
-{
-  const auto found = mEntries.find(aConnection);
-  if (found != mEntries.end()) {
-    found->second.mSentAt = aNow;
-  }
-}
-
 void
 ConnectionHealth::OnAnswer(Key aConnection, TimePoint aNow)
 {
@@ -39,7 +29,7 @@
 }
 
 void
-ConnectionHealth::Condemn(Key aConnection, Condemnation aReason)
+ConnectionHealth::Condemn(Key aConnection, Condemnation aReason, TimePoint aSentAt)
 {
   const auto found = mEntries.find(aConnection);
   if (found == mEntries.end() || found->second.mReason) {
@@ -49,11 +39,10 @@
   if (aReason != Condemnation::Silent) {
     return;
   }
-  const Entry silent = found->second;
+  const MemberId member = found->second.mMember;
   for (auto& [key, entry] : mEntries) {
-    const bool sameAge =
-      entry.mMember == silent.mMember && entry.mOpenedAt <= silent.mSentAt;
-    if (sameAge && entry.mAnsweredAt <= silent.mSentAt) {
+    const bool sameAge = entry.mMember == member && entry.mOpenedAt <= aSentAt;
+    if (sameAge && entry.mAnsweredAt <= aSentAt) {
       entry.mInDoubt = true;
     }
   }
--- a/src/libs/decision/admission/connectionhealth.h
+++ b/src/libs/decision/admission/connectionhealth.h
@@ -16,9 +16,10 @@
   Silent,
   /** The answer belongs to another request. */
   SequenceMismatch,
+  /** It ended within an answer, or before one. */
   Truncated,
   Oversized,
-  /** The member or the network ended the connection. */
+  /** Nothing could be sent. */
   Lost,
   /** It came back with an open transaction or a missing answer. */
   Unclean,
@@ -48,12 +49,14 @@
 
   void OnOpened(Key aConnection, const MemberId& aMember, TimePoint aNow);
   void OnClosed(Key aConnection);
-  /** A request is about to be sent. */
-  void OnSent(Key aConnection, TimePoint aNow);
   /** A whole answer that matches its request has arrived. */
   void OnAnswer(Key aConnection, TimePoint aNow);
-  /** Condemns the connection; silence puts its siblings in doubt. */
-  void Condemn(Key aConnection, Condemnation aReason);
+  /**
+   * Condemns the connection; silence puts its siblings in doubt.
+   *
+   * @param aSentAt when the request was sent that got no proper answer
+   */
+  void Condemn(Key aConnection, Condemnation aReason, TimePoint aSentAt);
 
   /** @return what may be done with the connection; Close for an unknown one */
   [[nodiscard]] ConnectionUse NextUse(Key aConnection) const;
@@ -65,7 +68,6 @@
   {
     MemberId mMember;
     TimePoint mOpenedAt;
-    TimePoint mSentAt;
     TimePoint mAnsweredAt;
     bool mInDoubt = false;
     std::optional<Condemnation> mReason;
--- a/src/libs/decision/admission/poolplanner.cpp
+++ b/src/libs/decision/admission/poolplanner.cpp
@@ -27,6 +27,7 @@
   return aLeft > aRight ? aLeft - aRight : 0;
 }
 
+/** What a target is compared with. */
 std::uint32_t
 HeldBy(const PoolMember& aMember)
 {
@@ -80,7 +81,7 @@
   std::uint32_t held = 0;
   std::uint32_t opening = 0;
   for (const PoolMember& member : aState.mMembers) {
-    held += HeldBy(member);
+    held += HeldBy(member) + member.mClosing;
     opening += member.mOpening;
   }
   for (; opening < kMaxOpening && held < aState.mAllowance; ++opening, ++held) {
--- a/src/libs/decision/admission/poolplanner.h
+++ b/src/libs/decision/admission/poolplanner.h
@@ -20,6 +20,8 @@
   std::uint32_t mInUse = 0;
   std::uint32_t mIdle = 0;
   std::uint32_t mOpening = 0;
+  /** Being closed: they count until the member has seen their end. */
+  std::uint32_t mClosing = 0;
   /** Requests that wait for a connection. */
   std::uint32_t mWaiting = 0;
 };
--- a/src/libs/interfaces/connections.h
+++ b/src/libs/interfaces/connections.h
@@ -22,6 +22,8 @@
   /** Writes may use the places that are kept for them. */
   bool mWrite = false;
   TimePoint mDeadline;
+  /** W3C trace context of the wait's span; empty for a new trace. */
+  std::string mTraceparent;
 };
 
 /** State in which a connection comes back. */
--- a/src/libs/interfaces/memberconnection.h
+++ b/src/libs/interfaces/memberconnection.h
@@ -22,10 +22,12 @@
    * Sends one request as it is, with the sequence number that the caller chose, and waits
    * for the next answer. The caller of this interface compares the sequence numbers.
    *
-   * Errors: MemberUnreachable when nothing was sent; OutcomeUnknown when the request may
-   * have been sent and no whole answer arrived by the deadline; AnswerTooLarge when the
-   * answer exceeds the size limit. After an error the connection is of no further use: an
-   * answer may still arrive and would be taken for that of a later request.
+   * Errors: StatementTooLarge and DeadlineBeforeStart when nothing was sent and the
+   * connection is as good as before; MemberUnreachable when nothing was sent;
+   * OutcomeUnknown when the request may have been sent and no whole answer arrived by the
+   * deadline; AnswerTooLarge when the answer exceeds the size limit. After the last three
+   * the connection is of no further use: an answer may still arrive and would be taken
+   * for that of a later request.
    *
    * @param aRequest the request
    * @param aDeadline end of the wait, on this process's monotonic clock
--- a/tests/auto/admission/tst_pool.cpp
+++ b/tests/auto/admission/tst_pool.cpp
@@ -31,11 +31,10 @@
     health.OnOpened(key, kA, start);
   }
   health.OnOpened(4, kB, start);
-  health.OnSent(1, start + 1s);
   health.OnAnswer(3, start + 2s);
   health.OnOpened(5, kA, start + 2s);
-  health.Condemn(1, Condemnation::Silent);
-  health.Condemn(1, Condemnation::Unclean);
+  health.Condemn(1, Condemnation::Silent, start + 1s);
+  health.Condemn(1, Condemnation::Unclean, start + 9s);
   CHECK(health.ReasonOf(1) == Condemnation::Silent);
   CHECK(health.NextUse(1) == ConnectionUse::Close);
   CHECK(health.NextUse(2) == ConnectionUse::ProbeFirst);
@@ -59,7 +58,7 @@
   ConnectionHealth health;
   health.OnOpened(1, kA, TimePoint());
   health.OnOpened(2, kA, TimePoint());
-  health.Condemn(1, reason);
+  health.Condemn(1, reason, TimePoint());
   CHECK(health.NextUse(1) == ConnectionUse::Close);
   CHECK(health.NextUse(2) == ConnectionUse::Use);
 }
@@ -72,15 +71,15 @@
       { { kA, 1, 0 }, { kB, 1, 0 } },
       2 },
     { "more than two openings at once",
-      { 8, 4, { { kA, true, 0, 0, 1, 4 }, { kB } } },
+      { 8, 4, { { kA, true, 0, 0, 1, 0, 4 }, { kB } } },
       { { kA, 1, 0 } },
       6 },
     { "openings beyond the slots of the member",
-      { 9, 2, { { kA, true, 1, 0, 3, 50 }, { kB, true, 0, 1, 0, 0 } } },
+      { 9, 2, { { kA, true, 1, 0, 3, 0, 50 }, { kB, true, 0, 1, 0, 0 } } },
       {},
       5 },
     { "openings beyond the allowance",
-      { 3, 4, { { kA, true, 2, 0, 0, 4 }, { kB, true, 0, 1, 0, 0 } } },
+      { 3, 4, { { kA, true, 2, 0, 0, 0, 4 }, { kB, true, 0, 1, 0, 0 } } },
       { { kB, 0, 1 } },
       8 },
     { "connections in use that are closed when the allowance shrinks",
@@ -92,11 +91,15 @@
       {},
       2 },
     { "a leaving member that keeps or gets connections",
-      { 8, 2, { { kA, false, 1, 2, 0, 3 }, { kB, true, 0, 1, 0, 0 } } },
+      { 8, 2, { { kA, false, 1, 2, 0, 0, 3 }, { kB, true, 0, 1, 0, 0 } } },
       { { kA, 0, 2 } },
       2 },
+    { "an opening that uses the place of a connection before it is closed",
+      { 2, 2, { { kA, true, 0, 0, 0, 1, 0 }, { kB, true, 1, 0, 0, 0, 0 } } },
+      {},
+      3 },
     { "nothing usable, so nothing opened",
-      { 0, 2, { { kA, true, 0, 0, 0, 1 } } },
+      { 0, 2, { { kA, true, 0, 0, 0, 0, 1 } } },
       {},
       2 },
   };
