--- a/src/app/serve/serve.cpp
+++ b/src/app/serve/serve.cpp
@@ -1,7 +1,10 @@
 #include "serve/serve.h"
 
 #include "commandline/commandline.h"
+#include "observe/log.h"
+#include "serve/serveapplication.h"
 #include "settings/settingsreader.h"
+#include "settings/settingvalue.h"
 
 #include <fmt/core.h>
 #include <gflags/gflags.h>
@@ -29,11 +32,14 @@
   return kExitUsage;
 }
 
-int
-Serve(const Settings& aSettings)
+void
+SetLogLevels(const Settings& aSettings)
 {
-  (void)aSettings;
-  return kExitRefused;
+  SetLogLevel("", *LogLevelFromName(aSettings.mLogLevel));
+  for (const std::string& part : SplitText(aSettings.mLogLevels, ',')) {
+    const std::size_t equals = part.find('=');
+    SetLogLevel(part.substr(0, equals), *LogLevelFromName(part.substr(equals + 1)));
+  }
 }
 
 } // namespace
@@ -77,7 +83,9 @@
   if (!taken.mLine.empty()) {
     return FailUsage(taken.mLine);
   }
-  return Serve(std::get<Settings>(settings));
+  SetLogLevels(std::get<Settings>(settings));
+  ServeApplication application(std::get<Settings>(settings));
+  return application.run(1, aArguments);
 }
 
 } // namespace papayaspindle
--- a/src/app/settings/settingrows.cpp
+++ b/src/app/settings/settingrows.cpp
@@ -169,12 +169,6 @@
   Number("configuration", "snapshot_every", &S::mSnapshotEvery, "1000", 10, 1'000'000,
     "Changes between two snapshots in the object store."),
 
-  Time("allowance", "lease_ms", &S::mLease, "3000", 500, kMinute,
-    "Duration of leased connections beyond the floor; the same on all instances."),
-  Time("allowance", "authority_ms", &S::mAuthority, "30000", 3000, 10 * kMinute,
-    "Duration of a keeper's authority to lease; the same on all instances."),
-  Time("allowance", "authority_renewal_ms", &S::mAuthorityRenewal, "10000", 500, 5 * kMinute,
-    "Pause between renewals of the authority."),
   Time("allowance", "interval_ms", &S::mAllowanceInterval, "500", 10, kMinute,
     "Pause between two looks at demand and leases."),
 
@@ -204,6 +198,8 @@
   Optional("tls", "peer_authority", Type::InputFile, &S::mPeerAuthority,
     "Authority (PEM) that peers' certificates must come from."),
 
+  Time("drain", "announce_ms", &S::mDrainAnnounce, "3000", 0, kMinute,
+    "Until peers and the balancer know of the leave; new work is still served."),
   Time("drain", "deadline_ms", &S::mDrainDeadline, "30000", 0, 60 * kMinute,
     "How long a shutdown waits for requests in flight; it exits with status 1 when it gives up."),
 };
--- a/src/app/settings/settings.h
+++ b/src/app/settings/settings.h
@@ -65,9 +65,6 @@
   Milliseconds mConfigurationInterval{};
   std::int64_t mSnapshotEvery = 0;
 
-  Milliseconds mLease{};
-  Milliseconds mAuthority{};
-  Milliseconds mAuthorityRenewal{};
   Milliseconds mAllowanceInterval{};
 
   std::string mLogLevel;
@@ -84,6 +81,7 @@
   std::string mPeerKey;
   std::string mPeerAuthority;
 
+  Milliseconds mDrainAnnounce{};
   Milliseconds mDrainDeadline{};
 };
 
--- a/src/app/settings/settingsreader.cpp
+++ b/src/app/settings/settingsreader.cpp
@@ -197,12 +197,6 @@
                      "above failover.backoff_max_ms",
                      fmt::format("at most {}", aSettings.mBackoffMax.count()));
   }
-  if (aSettings.mAuthorityRenewal * 2 > aSettings.mAuthority) {
-    return ErrorLine("allowance.authority_renewal_ms",
-                     std::to_string(aSettings.mAuthorityRenewal.count()),
-                     "more than half of allowance.authority_ms",
-                     fmt::format("at most {}", aSettings.mAuthority.count() / 2));
-  }
   const std::array<std::array<std::string_view, 3>, 3> tls{ {
     { "tls.caller_key", aSettings.mCallerCertificate, aSettings.mCallerKey },
     { "tls.operator_key", aSettings.mOperatorCertificate, aSettings.mOperatorKey },
@@ -216,6 +210,12 @@
                        "both or neither");
     }
   }
+  if (aSettings.mDrainAnnounce > aSettings.mDrainDeadline) {
+    return ErrorLine("drain.announce_ms",
+                     std::to_string(aSettings.mDrainAnnounce.count()),
+                     "above drain.deadline_ms",
+                     fmt::format("at most {}", aSettings.mDrainDeadline.count()));
+  }
   if (!aSettings.mOperatorCertificate.empty() && aSettings.mListenOperators.empty()) {
     return ErrorLine("tls.operator_certificate",
                      aSettings.mOperatorCertificate,
