--- a/src/app/settings/settingrows.cpp
+++ b/src/app/settings/settingrows.cpp
@@ -126,10 +126,13 @@
   Time("limits", "default_timeout_ms", &S::mDefaultTimeout, "5000", 10, 10 * kMinute,
     "Deadline of calls that state none."),
 
-  Choice("reads", "policy", &S::mReadPolicy, "replica", "replica|primary",
-    "Where reads go: to a replica that can prove its freshness, or always to the primary."),
+  Choice("reads", "policy", &S::mReadPolicy, "bounded_wait",
+    "primary|primary_after_write|immediate_fallback|bounded_wait",
+    "Where reads go. primary: all to the primary; primary_after_write: a session that wrote "
+    "reads from the primary; immediate_fallback: a replica that is not known to be caught up "
+    "is passed over; bounded_wait: one that is about to catch up is waited for."),
   Time("reads", "default_staleness_ms", &S::mDefaultStaleness, "0", 0, 60 * kMinute,
-    "Age of data that a read accepts when it states none; 0 accepts no staleness."),
+    "Age of data that a read accepts when it states none; 0 sends such reads to the primary."),
   Time("reads", "replica_wait_ms", &S::mReplicaWait, "20", 0, 10'000,
     "How long a read waits for a replica that is a little behind."),
 
--- a/tests/auto/app/tst_settings.cpp
+++ b/tests/auto/app/tst_settings.cpp
@@ -77,7 +77,7 @@
     { kComplete + "[listen]\ncallers = 127.0.0.1:70000\n",
       { "listen.callers", "IP:PORT" } },
     { kComplete + "[reads]\npolicy = both\n",
-      { "reads.policy", "both", "replica, primary" } },
+      { "reads.policy", "both", "immediate_fallback, bounded_wait" } },
     { kComplete + "[log]\nlevels = failover=loud\n",
       { "log.levels", "failover=loud", "warning" } },
     { kComplete + "[tls]\ncaller_certificate = /nonexistent/a.pem\n",
