--- a/src/app/settings/settingrows.cpp
+++ b/src/app/settings/settingrows.cpp
@@ -126,10 +126,13 @@
   Time("limits", "default_timeout_ms", &S::mDefaultTimeout, "5000", 10, 10 * kMinute,
     "Deadline of calls that state none."),
 
-  Choice("reads", "policy", &S::mReadPolicy, "replica", "replica|primary",
-    "Where reads go: to a replica that can prove its freshness, or always to the primary."),
+  Choice("reads", "policy", &S::mReadPolicy, "bounded_wait",
+    "primary|primary_after_write|immediate_fallback|bounded_wait",
+    "Where reads go. primary: all to the primary; primary_after_write: a session that wrote "
+    "reads from the primary; immediate_fallback: a replica that is not known to be caught up "
+    "is passed over; bounded_wait: one that is about to catch up is waited for."),
   Time("reads", "default_staleness_ms", &S::mDefaultStaleness, "0", 0, 60 * kMinute,
-    "Age of data that a read accepts when it states none; 0 accepts no staleness."),
+    "Age of data that a read accepts when it states none; 0 sends such reads to the primary."),
   Time("reads", "replica_wait_ms", &S::mReplicaWait, "20", 0, 10'000,
     "How long a read waits for a replica that is a little behind."),
 
@@ -169,12 +172,6 @@
   Number("configuration", "snapshot_every", &S::mSnapshotEvery, "1000", 10, 1'000'000,
     "Changes between two snapshots in the object store."),
 
-  Time("allowance", "lease_ms", &S::mLease, "3000", 500, kMinute,
-    "Duration of leased connections beyond the floor; the same on all instances."),
-  Time("allowance", "authority_ms", &S::mAuthority, "30000", 3000, 10 * kMinute,
-    "Duration of a keeper's authority to lease; the same on all instances."),
-  Time("allowance", "authority_renewal_ms", &S::mAuthorityRenewal, "10000", 500, 5 * kMinute,
-    "Pause between renewals of the authority."),
   Time("allowance", "interval_ms", &S::mAllowanceInterval, "500", 10, kMinute,
     "Pause between two looks at demand and leases."),
 
@@ -204,6 +201,8 @@
   Optional("tls", "peer_authority", Type::InputFile, &S::mPeerAuthority,
     "Authority (PEM) that peers' certificates must come from."),
 
+  Time("drain", "announce_ms", &S::mDrainAnnounce, "3000", 0, kMinute,
+    "Until peers and the balancer know of the leave; new work is still served."),
   Time("drain", "deadline_ms", &S::mDrainDeadline, "30000", 0, 60 * kMinute,
     "How long a shutdown waits for requests in flight; it exits with status 1 when it gives up."),
 };
