--- a/src/standin/member.cpp
+++ b/src/standin/member.cpp
@@ -32,6 +32,17 @@
   mApplier.join();
 }
 
+bool
+Member::OpenJournal(const std::string& aPath)
+{
+  const std::lock_guard lock(mMutex);
+  const bool isRead = mJournal.Open(
+    aPath, [this](const v1::JournalRecord& aRecord) { return mState.Restore(aRecord); });
+  mState.SetJournal(
+    [this](const v1::JournalRecord& aRecord) { mJournal.Write(aRecord); });
+  return isRead;
+}
+
 void
 Member::SetReplicationLag(std::chrono::milliseconds aLag)
 {
--- a/src/standin/member.h
+++ b/src/standin/member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standin.pb.h"
+#include "standin/memberjournal.h"
 #include "standin/memberstate.h"
 
 #include <chrono>
@@ -34,6 +35,13 @@
   Member(std::string aMember, std::string aAvailabilityZone);
   ~Member();
 
+  /**
+   * Reads the journal of an earlier process and appends every change to it from now on;
+   * called before any other call.
+   *
+   * @return false when the file cannot be read or written
+   */
+  bool OpenJournal(const std::string& aPath);
   void SetReplicationLag(std::chrono::milliseconds aLag);
 
   [[nodiscard]] v1::StatusReply Status() const;
@@ -75,6 +83,7 @@
 
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
+  MemberJournal mJournal;
   MemberState mState;
   Duration mLag{};
   bool mStopping = false;
--- a/src/standin/memberstate.cpp
+++ b/src/standin/memberstate.cpp
@@ -78,6 +78,52 @@
   return status;
 }
 
+bool
+MemberState::Restore(const v1::JournalRecord& aRecord)
+{
+  switch (aRecord.change_case()) {
+    case v1::JournalRecord::kTerm:
+      mTerms.Restore(aRecord.term());
+      return true;
+    case v1::JournalRecord::kTruncatedAfter:
+      return DropAfterCommon(mLog.PositionAt(aRecord.truncated_after()));
+    case v1::JournalRecord::kAppended:
+      if (!mLog.Append(aRecord.appended())) {
+        return false;
+      }
+      RunLogged(mStore, mLog.EntryAt(++mApplied));
+      return true;
+    case v1::JournalRecord::CHANGE_NOT_SET:
+      return false;
+  }
+  return false;
+}
+
+void
+MemberState::NoteTerm(std::uint64_t aBefore)
+{
+  if (mTerms.Term() == aBefore || !mJournal) {
+    return;
+  }
+  v1::JournalRecord record;
+  record.set_term(mTerms.Term());
+  mJournal(record);
+}
+
+bool
+MemberState::AppendEntry(v1::LogEntry aEntry)
+{
+  if (!mLog.Append(std::move(aEntry))) {
+    return false;
+  }
+  if (mJournal) {
+    v1::JournalRecord record;
+    *record.mutable_appended() = mLog.EntryAt(mLog.Last().mIndex);
+    mJournal(record);
+  }
+  return true;
+}
+
 bool
 MemberState::Raise(std::uint64_t aTerm, const std::string& aKeeper)
 {
@@ -86,6 +132,7 @@
   if (mTerms.Term() != before) {
     mInStep = false;
   }
+  NoteTerm(before);
   return granted;
 }
 
@@ -115,9 +162,11 @@
 {
   const bool followedBefore =
     mTerms.Term() == aTerm && mTerms.Role() == v1::MEMBER_ROLE_REPLICA;
+  const std::uint64_t before = mTerms.Term();
   if (aPrimary.member() == mMember || !mTerms.Follow(aTerm, aPrimary)) {
     return false;
   }
+  NoteTerm(before);
   if (!followedBefore) {
     mInStep = false;
     mPrimaryHeardAt = aNow;
@@ -286,7 +335,7 @@
   entry.set_statement_hash(aHash);
   entry.mutable_statements()->Assign(aStatements.begin(), aStatements.end());
   entry.set_affected(aAffected);
-  mLog.Append(std::move(entry));
+  AppendEntry(std::move(entry));
   mApplied = mLog.Last().mIndex;
   return mLog.Last();
 }
@@ -311,7 +360,7 @@
   }
   mPrimaryHeardAt = aNow;
   for (const v1::LogEntry& entry : aBatch.entries()) {
-    if (!mLog.Append(entry)) {
+    if (!AppendEntry(entry)) {
       return false;
     }
     mReceivedAt.push_back(aNow);
@@ -325,6 +374,11 @@
   if (mLog.PositionAt(aCommon.mIndex) != aCommon) {
     return false;
   }
+  if (mLog.Last().mIndex > aCommon.mIndex && mJournal) {
+    v1::JournalRecord record;
+    record.set_truncated_after(aCommon.mIndex);
+    mJournal(record);
+  }
   mLog.TruncateAfter(aCommon.mIndex);
   if (mApplied > aCommon.mIndex) {
     mStore.Clear();
--- a/src/standin/memberstate.h
+++ b/src/standin/memberstate.h
@@ -2,6 +2,7 @@
 
 #include "backend.pb.h"
 #include "core/timetypes.h"
+#include "standin.pb.h"
 #include "standin/keyvaluestore.h"
 #include "standin/memberlog.h"
 #include "standin/termstate.h"
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,8 +34,20 @@
 class MemberState
 {
 public:
+  /** Receives each durable change before the call that made it returns. */
+  using JournalHook = std::function<void(const v1::JournalRecord&)>;
+
   MemberState(std::string aMember, std::string aAvailabilityZone);
 
+  void SetJournal(JournalHook aJournal) { mJournal = std::move(aJournal); }
+  /**
+   * Replays one change of an earlier process, before any other call. The member comes
+   * back fenced in its last term: whoever led or followed must be told again.
+   *
+   * @return whether the record continues the ones before it
+   */
+  bool Restore(const v1::JournalRecord& aRecord);
+
   /** @return the status; open_connections and leaving are left to the caller */
   [[nodiscard]] v1::StatusReply Status(TimePoint aNow) const;
   [[nodiscard]] const TermState& Terms() const { return mTerms; }
@@ -80,8 +94,11 @@
                         const std::vector<std::string>& aStatements,
                         std::uint64_t aAffected);
   void ApplyNext();
+  bool AppendEntry(v1::LogEntry aEntry);
+  void NoteTerm(std::uint64_t aBefore);
   bool DropAfterCommon(const LogPosition& aCommon);
 
+  JournalHook mJournal;
   std::string mMember;
   std::string mAvailabilityZone;
   TermState mTerms;
--- a/src/standin/termstate.h
+++ b/src/standin/termstate.h
@@ -37,6 +37,9 @@
    * @return whether it follows that primary now
    */
   bool Follow(std::uint64_t aTerm, const v1::MemberAddress& aPrimary);
+  /** Takes the last term of an earlier process. No keeper is granted that term again, and
+   * none can promote in it, since who raised it is not kept. */
+  void Restore(std::uint64_t aTerm) { mTerm = aTerm; }
 
 private:
   std::uint64_t mTerm = 0;
--- a/tests/auto/standin/tst_memberstate.cpp
+++ b/tests/auto/standin/tst_memberstate.cpp
@@ -252,3 +252,39 @@
   REQUIRE(replica.Promote(2, "k"));
   CHECK(Execute(replica, "GET k").rows(0).columns(0) == "w");
 }
+
+// Guards against a restarted member that forgot its term or its log and lets a majority
+// promote without an acknowledged write.
+TEST_CASE("a member comes back with its term and its log", "[standin]")
+{
+  std::vector<v1::JournalRecord> journal;
+  MemberState member("a", "z1");
+  member.SetJournal(
+    [&](const v1::JournalRecord& aRecord) { journal.push_back(aRecord); });
+  REQUIRE(member.Raise(1, "k"));
+  REQUIRE(member.Promote(1, "k"));
+  Execute(member, "PUT k kept", "id-1");
+  MemberState next("b", "z2");
+  REQUIRE(next.Follow(1, Address("a"), kStart));
+  REQUIRE(next.Receive(BatchFor(member, next), kStart));
+  Execute(member, "PUT k lost", "id-2");
+  REQUIRE(next.Raise(2, "k"));
+  REQUIRE(next.Promote(2, "k"));
+  REQUIRE(member.Follow(2, Address("b"), kStart));
+  Replicate(next, member);
+
+  MemberState restored("a", "z1");
+  for (const v1::JournalRecord& record : journal) {
+    REQUIRE(restored.Restore(record));
+  }
+  CHECK(restored.Log().Last() == member.Log().Last());
+  CHECK(restored.Terms().Term() == 2);
+  CHECK(restored.Terms().Role() == v1::MEMBER_ROLE_FENCED);
+  CHECK(restored.Log().FindRequest("id-1") != nullptr);
+  CHECK(restored.Log().FindRequest("id-2") == nullptr);
+  CHECK_FALSE(restored.Raise(2, "other"));
+  CHECK_FALSE(restored.Promote(2, "k"));
+  REQUIRE(restored.Follow(2, Address("b"), kStart));
+  Replicate(next, restored);
+  CHECK(Execute(restored, "GET k").rows(0).columns(0) == "kept");
+}
