--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 #include "commandline/commandline.h"
 #include "ctl/ctl.h"
+#include "experiment/experiment.h"
 #include "placementbench/placementbench.h"
 #include "serve/serve.h"
 
@@ -27,6 +28,7 @@
 constexpr std::array kVerbs{
   Verb{ "serve", "runs an entry instance", &RunServe },
   Verb{ "ctl", "calls an entry instance as operator or caller", &RunCtl },
+  Verb{ "experiment", "loads entry instances and checks every answer", &RunExperiment },
   Verb{ "placement", "compares ways to place groups on homes", &RunPlacementBench },
   Verb{ "version", "prints the version", &RunVersion },
 };
