Add the connection manager

Change: a table of connections by id, a pool for each group that queues, opens, probes and closes, and the manager that runs the pool's work outside of its locks. Connections over the allowance are closed at once when idle and on release otherwise; a connection counts until it is closed at the member.

--- /dev/null
+++ b/src/libs/daemon/connections/connectionmanager.cpp
@@ -0,0 +1,411 @@
+#include "daemon/connections/connectionmanager.h"
+
+#include "daemon/connections/connectionrunner.h"
+#include "daemon/connections/connectiontable.h"
+#include "daemon/connections/grouppool.h"
+#include "interfaces/groups.h"
+#include "observe/log.h"
+#include "observe/metricregistry.h"
+#include "observe/tracer.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <shared_mutex>
+#include <utility>
+#include <vector>
+
+namespace papayaspindle {
+
+namespace {
+
+/** Time for opening a connection; the slowest take 30 ms. */
+constexpr std::chrono::seconds kOpenTimeout{ 1 };
+/** Time for a PING statement on a connection in doubt. */
+constexpr std::chrono::milliseconds kProbeTimeout{ 500 };
+
+/** A blocked Acquire. */
+struct Waiter
+{
+  std::condition_variable mWake;
+  std::optional<Result<ConnectionId>> mOutcome;
+};
+
+/** One group's pool, its lock and the requests that wait for it. */
+struct PoolSlot
+{
+  std::mutex mMutex;
+  GroupPool mPool;
+  std::map<PoolTicket, Waiter> mWaiters;
+};
+
+/** Hands outcomes to the requests that wait; the pool's lock is held. */
+void
+Deliver(PoolSlot& aSlot, const PoolWork& aWork)
+{
+  for (const PoolDelivery& delivery : aWork.mDeliveries) {
+    const auto found = aSlot.mWaiters.find(delivery.mTicket);
+    if (found != aSlot.mWaiters.end()) {
+      found->second.mOutcome = delivery.mOutcome;
+      found->second.mWake.notify_one();
+    }
+  }
+}
+
+} // namespace
+
+struct ConnectionManager::Private
+{
+  Private(ConnectionHooks aHooks,
+          const Groups& aGroups,
+          MetricRegistry& aMetrics,
+          Tracer& aTracer)
+    : mHooks(std::move(aHooks))
+    , mGroups(aGroups)
+    , mMetrics(aMetrics)
+    , mTracer(aTracer)
+  {
+  }
+
+  PoolSlot& SlotOf(const GroupId& aGroup);
+  std::vector<GroupId> SlotNames();
+  /** Changes a pool under its lock, then does what it asks for. */
+  template<typename Change>
+  void Update(const GroupId& aGroup, const Change& aChange);
+  void Execute(const GroupId& aGroup, const PoolWork& aWork);
+  void Open(const GroupId& aGroup, const PoolOpening& aOpening);
+  void Probe(const GroupId& aGroup, ConnectionId aConnection);
+  void Close(ConnectionId aConnection);
+  Result<ConnectionId> Wait(const AcquireRequest& aRequest);
+  Result<ConnectionId> Admit(const AcquireRequest& aRequest);
+  void Take(ConnectionId aConnection, const GroupId& aGroup, const RunOutcome& aOutcome);
+  bool Begin();
+  void End();
+
+  ConnectionHooks mHooks;
+  const Groups& mGroups;
+  MetricRegistry& mMetrics;
+  Tracer& mTracer;
+  ConnectionTable mTable;
+  std::shared_mutex mSlotsMutex;
+  /** Slots are never removed, so references to them stay valid. */
+  std::map<GroupId, PoolSlot> mSlots;
+  std::mutex mDrainMutex;
+  std::condition_variable mDrained;
+  bool mDraining = false;
+  /** Acquisitions that wait and connections that have an owner. */
+  std::uint64_t mActive = 0;
+};
+
+PoolSlot&
+ConnectionManager::Private::SlotOf(const GroupId& aGroup)
+{
+  {
+    const std::shared_lock lock(mSlotsMutex);
+    const auto found = mSlots.find(aGroup);
+    if (found != mSlots.end()) {
+      return found->second;
+    }
+  }
+  const std::unique_lock lock(mSlotsMutex);
+  return mSlots[aGroup];
+}
+
+std::vector<GroupId>
+ConnectionManager::Private::SlotNames()
+{
+  const std::shared_lock lock(mSlotsMutex);
+  std::vector<GroupId> names;
+  names.reserve(mSlots.size());
+  for (const auto& [name, slot] : mSlots) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+template<typename Change>
+void
+ConnectionManager::Private::Update(const GroupId& aGroup, const Change& aChange)
+{
+  PoolSlot& slot = SlotOf(aGroup);
+  const std::optional<GroupSettings> settings = mGroups.Settings(aGroup);
+  PoolWork work;
+  {
+    const std::lock_guard lock(slot.mMutex);
+    if (settings) {
+      slot.mPool.Configure(*settings);
+    }
+    aChange(slot.mPool);
+    work = slot.mPool.Advance(mHooks.mNow());
+    Deliver(slot, work);
+  }
+  Execute(aGroup, work);
+}
+
+void
+ConnectionManager::Private::Execute(const GroupId& aGroup, const PoolWork& aWork)
+{
+  for (const ConnectionId connection : aWork.mCloses) {
+    Close(connection);
+    Update(aGroup, [&](GroupPool& aPool) { aPool.OnClosed(connection); });
+  }
+  for (const ConnectionId connection : aWork.mProbes) {
+    if (!mHooks.mSubmit([this, aGroup, connection] { Probe(aGroup, connection); })) {
+      Update(aGroup, [&](GroupPool& aPool) {
+        aPool.Condemn(connection, Condemnation::Lost, mHooks.mNow());
+        aPool.OnProbed(connection);
+      });
+    }
+  }
+  for (const PoolOpening& opening : aWork.mOpenings) {
+    if (!mHooks.mSubmit([this, aGroup, opening] { Open(aGroup, opening); })) {
+      Update(aGroup, [&](GroupPool& aPool) {
+        aPool.OnOpenFailed(opening.mMember, mHooks.mNow());
+      });
+    }
+  }
+}
+
+void
+ConnectionManager::Private::Open(const GroupId& aGroup, const PoolOpening& aOpening)
+{
+  const TimePoint begin = mHooks.mNow();
+  auto opened =
+    mHooks.mOpen({ aGroup, aOpening.mMember, aOpening.mAddress, begin + kOpenTimeout });
+  if (!IsOk(opened)) {
+    mMetrics.Add("connections.open_failed");
+    Log(LogLevel::Warning,
+        "connections",
+        "open_failed",
+        { { "group", aGroup.Text() },
+          { "member", aOpening.mMember.Text() },
+          { "error", ErrorOf(opened).mMessage } });
+    Update(aGroup, [&](GroupPool& aPool) {
+      aPool.OnOpenFailed(aOpening.mMember, mHooks.mNow());
+    });
+    return;
+  }
+  mMetrics.Add("connections.opened");
+  const std::chrono::duration<double, std::micro> took = mHooks.mNow() - begin;
+  mMetrics.Record("connections.open", "us", took.count());
+  const ConnectionId id =
+    mTable.Add({ aGroup, aOpening.mMember, std::move(ValueOf(opened)) });
+  Update(aGroup, [&](GroupPool& aPool) {
+    aPool.OnOpened(id, aOpening.mMember, aOpening.mAddress, mHooks.mNow());
+  });
+}
+
+void
+ConnectionManager::Private::Probe(const GroupId& aGroup, ConnectionId aConnection)
+{
+  const std::optional<ConnectionTurn> turn = mTable.NextTurn(aConnection);
+  if (!turn) {
+    return;
+  }
+  v1::SessionRequest ping;
+  ping.set_kind(v1::STATEMENT_KIND_PING);
+  const TimePoint deadline = mHooks.mNow() + kProbeTimeout;
+  const RunOutcome outcome = RunOnce(*turn, std::move(ping), deadline, mHooks.mNow);
+  mMetrics.Add("connections.probed");
+  Take(aConnection, aGroup, outcome);
+  Update(aGroup, [&](GroupPool& aPool) { aPool.OnProbed(aConnection); });
+}
+
+void
+ConnectionManager::Private::Close(ConnectionId aConnection)
+{
+  const std::optional<ConnectionEntry> entry = mTable.Remove(aConnection);
+  if (entry) {
+    entry->mConnection->Close();
+    mMetrics.Add("connections.closed");
+  }
+}
+
+/** Tells the pool how a request ended on a connection. */
+void
+ConnectionManager::Private::Take(ConnectionId aConnection,
+                                 const GroupId& aGroup,
+                                 const RunOutcome& aOutcome)
+{
+  if (!aOutcome.mCondemned) {
+    PoolSlot& slot = SlotOf(aGroup);
+    const std::lock_guard lock(slot.mMutex);
+    if (IsOk(aOutcome.mAnswer)) {
+      slot.mPool.OnAnswer(aConnection, mHooks.mNow());
+    }
+    return;
+  }
+  mMetrics.Add("connections.condemned");
+  Log(LogLevel::Warning,
+      "connections",
+      "condemned",
+      { { "group", aGroup.Text() }, { "error", ErrorOf(aOutcome.mAnswer).mMessage } });
+  Update(aGroup, [&](GroupPool& aPool) {
+    aPool.Condemn(aConnection, *aOutcome.mCondemned, aOutcome.mSentAt);
+  });
+}
+
+Result<ConnectionId>
+ConnectionManager::Private::Admit(const AcquireRequest& aRequest)
+{
+  const std::optional<GroupSettings> settings = mGroups.Settings(aRequest.mGroup);
+  if (!settings) {
+    return Error{ ErrorKind::UnknownGroup, aRequest.mGroup.Text() };
+  }
+  if (!Begin()) {
+    return Error{ ErrorKind::Draining, "this instance is shutting down" };
+  }
+  Result<ConnectionId> outcome = Wait(aRequest);
+  if (!IsOk(outcome)) {
+    End();
+  }
+  return outcome;
+}
+
+Result<ConnectionId>
+ConnectionManager::Private::Wait(const AcquireRequest& aRequest)
+{
+  PoolSlot& slot = SlotOf(aRequest.mGroup);
+  Update(aRequest.mGroup, [](GroupPool&) {});
+  PoolTicket ticket;
+  {
+    const std::lock_guard lock(slot.mMutex);
+    const Result<PoolTicket> entered = slot.mPool.Enter(aRequest, mHooks.mNow());
+    if (!IsOk(entered)) {
+      return ErrorOf(entered);
+    }
+    ticket = ValueOf(entered);
+    slot.mWaiters.try_emplace(ticket);
+  }
+  for (;;) {
+    Update(aRequest.mGroup, [](GroupPool&) {});
+    std::unique_lock lock(slot.mMutex);
+    Waiter& waiter = slot.mWaiters.at(ticket);
+    const TimePoint wake = Clock::now() + (aRequest.mDeadline - mHooks.mNow());
+    waiter.mWake.wait_until(lock, wake, [&] { return waiter.mOutcome.has_value(); });
+    if (waiter.mOutcome) {
+      const Result<ConnectionId> outcome = *waiter.mOutcome;
+      slot.mWaiters.erase(ticket);
+      return outcome;
+    }
+  }
+}
+
+bool
+ConnectionManager::Private::Begin()
+{
+  const std::lock_guard lock(mDrainMutex);
+  if (mDraining) {
+    return false;
+  }
+  ++mActive;
+  return true;
+}
+
+void
+ConnectionManager::Private::End()
+{
+  const std::lock_guard lock(mDrainMutex);
+  --mActive;
+  if (mActive == 0) {
+    mDrained.notify_all();
+  }
+}
+
+ConnectionManager::ConnectionManager(ConnectionHooks aHooks,
+                                     const Groups& aGroups,
+                                     MetricRegistry& aMetrics,
+                                     Tracer& aTracer)
+  : mPrivate(std::make_unique<Private>(std::move(aHooks), aGroups, aMetrics, aTracer))
+{
+}
+
+ConnectionManager::~ConnectionManager() = default;
+
+Result<ConnectionId>
+ConnectionManager::Acquire(const AcquireRequest& aRequest)
+{
+  Span span = mPrivate->mTracer.Start("connection_wait", aRequest.mTraceparent);
+  span.SetAttribute("group", aRequest.mGroup.Text());
+  span.SetAttribute("member", aRequest.mMember.Text());
+  Result<ConnectionId> outcome = mPrivate->Admit(aRequest);
+  if (!IsOk(outcome)) {
+    span.SetError(ErrorOf(outcome).mMessage);
+    mPrivate->mMetrics.Add("connections.refused");
+  }
+  return outcome;
+}
+
+Result<v1::SessionAnswer>
+ConnectionManager::Run(ConnectionId aConnection,
+                       v1::SessionRequest aRequest,
+                       TimePoint aDeadline)
+{
+  const std::optional<ConnectionTurn> turn = mPrivate->mTable.NextTurn(aConnection);
+  if (!turn) {
+    return Error{ ErrorKind::MemberUnreachable, "the connection is closed" };
+  }
+  const GroupId& group = turn->mEntry.mGroup;
+  {
+    PoolSlot& slot = mPrivate->SlotOf(group);
+    const std::lock_guard lock(slot.mMutex);
+    if (!slot.mPool.IsUsable(aConnection)) {
+      return Error{ ErrorKind::MemberUnreachable, "the connection has no owner" };
+    }
+  }
+  RunOutcome outcome =
+    RunOnce(*turn, std::move(aRequest), aDeadline, mPrivate->mHooks.mNow);
+  mPrivate->Take(aConnection, group, outcome);
+  return std::move(outcome.mAnswer);
+}
+
+void
+ConnectionManager::Release(ConnectionId aConnection, ConnectionState aState)
+{
+  const std::optional<ConnectionEntry> entry = mPrivate->mTable.Find(aConnection);
+  if (!entry) {
+    return;
+  }
+  bool owned = false;
+  mPrivate->Update(entry->mGroup, [&](GroupPool& aPool) {
+    owned = aPool.OnReleased(aConnection, aState, mPrivate->mHooks.mNow());
+  });
+  if (owned) {
+    mPrivate->End();
+  }
+}
+
+void
+ConnectionManager::SetAllowance(const GroupId& aGroup, const GroupAllowance& aAllowance)
+{
+  mPrivate->Update(aGroup, [&](GroupPool& aPool) { aPool.SetAllowance(aAllowance); });
+}
+
+ShareUse
+ConnectionManager::TakeUse(const GroupId& aGroup)
+{
+  PoolSlot& slot = mPrivate->SlotOf(aGroup);
+  const std::lock_guard lock(slot.mMutex);
+  return { slot.mPool.TakeDemand(), slot.mPool.Held() };
+}
+
+void
+ConnectionManager::Tick()
+{
+  for (const GroupId& group : mPrivate->SlotNames()) {
+    mPrivate->Update(group, [](GroupPool&) {});
+  }
+}
+
+bool
+ConnectionManager::Drain(TimePoint aDeadline)
+{
+  std::unique_lock lock(mPrivate->mDrainMutex);
+  mPrivate->mDraining = true;
+  const TimePoint wake = Clock::now() + (aDeadline - mPrivate->mHooks.mNow());
+  return mPrivate->mDrained.wait_until(
+    lock, wake, [this] { return mPrivate->mActive == 0; });
+}
+
+} // namespace papayaspindle
--- a/src/libs/decision/admission/poolplanner.cpp
+++ b/src/libs/decision/admission/poolplanner.cpp
@@ -88,9 +88,9 @@
     std::size_t most = 0;
     std::uint32_t mostMissing = 0;
     for (std::size_t i = 0; i < aTargets.size(); ++i) {
-      const std::uint32_t missing =
-        Minus(aTargets[i], HeldBy(aState.mMembers[i]) + aSteps[i].mOpen);
-      if (missing > mostMissing) {
+      const PoolMember& member = aState.mMembers[i];
+      const std::uint32_t missing = Minus(aTargets[i], HeldBy(member) + aSteps[i].mOpen);
+      if (member.mMayOpen && missing > mostMissing) {
         most = i;
         mostMissing = missing;
       }
--- a/src/libs/decision/admission/poolplanner.h
+++ b/src/libs/decision/admission/poolplanner.h
@@ -24,6 +24,8 @@
   std::uint32_t mClosing = 0;
   /** Requests that wait for a connection. */
   std::uint32_t mWaiting = 0;
+  /** False for a while after an opening has failed. */
+  bool mMayOpen = true;
 };
 
 /** State of a group's pool at this home. */
