--- a/src/libs/daemon/connections/connectionmanager.cpp
+++ b/src/libs/daemon/connections/connectionmanager.cpp
@@ -73,6 +73,8 @@
   /** Changes a pool under its lock, then does what it asks for. */
   template<typename Change>
   void Update(const GroupId& aGroup, const Change& aChange);
+  /** Takes the group's settings into its pool. */
+  void Configure(const GroupId& aGroup);
   void Execute(const GroupId& aGroup, const PoolWork& aWork);
   void Open(const GroupId& aGroup, const PoolOpening& aOpening);
   void Probe(const GroupId& aGroup, ConnectionId aConnection);
@@ -129,13 +131,9 @@
 ConnectionManager::Private::Update(const GroupId& aGroup, const Change& aChange)
 {
   PoolSlot& slot = SlotOf(aGroup);
-  const std::optional<GroupSettings> settings = mGroups.Settings(aGroup);
   PoolWork work;
   {
     const std::lock_guard lock(slot.mMutex);
-    if (settings) {
-      slot.mPool.Configure(*settings);
-    }
     aChange(slot.mPool);
     work = slot.mPool.Advance(mHooks.mNow());
     Deliver(slot, work);
@@ -143,6 +141,17 @@
   Execute(aGroup, work);
 }
 
+void
+ConnectionManager::Private::Configure(const GroupId& aGroup)
+{
+  const std::optional<GroupSettings> settings = mGroups.Settings(aGroup);
+  Update(aGroup, [&settings](GroupPool& aPool) {
+    if (settings) {
+      aPool.Configure(*settings);
+    }
+  });
+}
+
 void
 ConnectionManager::Private::Execute(const GroupId& aGroup, const PoolWork& aWork)
 {
@@ -253,6 +262,7 @@
   if (!settings) {
     return Error{ ErrorKind::UnknownGroup, aRequest.mGroup.Text() };
   }
+  Update(aRequest.mGroup, [&settings](GroupPool& aPool) { aPool.Configure(*settings); });
   if (!Begin()) {
     return Error{ ErrorKind::Draining, "this instance is shutting down" };
   }
@@ -267,7 +277,6 @@
 ConnectionManager::Private::Wait(const AcquireRequest& aRequest)
 {
   PoolSlot& slot = SlotOf(aRequest.mGroup);
-  Update(aRequest.mGroup, [](GroupPool&) {});
   PoolTicket ticket;
   {
     const std::lock_guard lock(slot.mMutex);
@@ -380,6 +389,7 @@
 ConnectionManager::SetAllowance(const GroupId& aGroup, const GroupAllowance& aAllowance)
 {
   mPrivate->Update(aGroup, [&](GroupPool& aPool) { aPool.SetAllowance(aAllowance); });
+  mPrivate->Configure(aGroup);
 }
 
 ShareUse
@@ -390,11 +400,19 @@
   return { slot.mPool.TakeDemand(), slot.mPool.Held() };
 }
 
+std::uint32_t
+ConnectionManager::Held(const GroupId& aGroup)
+{
+  PoolSlot& slot = mPrivate->SlotOf(aGroup);
+  const std::lock_guard lock(slot.mMutex);
+  return slot.mPool.Held();
+}
+
 void
 ConnectionManager::Tick()
 {
   for (const GroupId& group : mPrivate->SlotNames()) {
-    mPrivate->Update(group, [](GroupPool&) {});
+    mPrivate->Configure(group);
   }
 }
 
--- a/src/libs/daemon/connections/connectionmanager.h
+++ b/src/libs/daemon/connections/connectionmanager.h
@@ -43,6 +43,7 @@
 
   void SetAllowance(const GroupId& aGroup, const GroupAllowance& aAllowance) override;
   ShareUse TakeUse(const GroupId& aGroup) override;
+  std::uint32_t Held(const GroupId& aGroup) override;
 
   /** Takes changed settings, ends waits whose deadline has passed, and opens and closes
    * connections; called every 100 ms. */
--- a/src/libs/daemon/connections/poolshares.h
+++ b/src/libs/daemon/connections/poolshares.h
@@ -25,6 +25,8 @@
   /** Idle connections over the allowance are closed at once, others on release. */
   virtual void SetAllowance(const GroupId& aGroup, const GroupAllowance& aAllowance) = 0;
   virtual ShareUse TakeUse(const GroupId& aGroup) = 0;
+  /** @return open connections, also those being opened or closed */
+  virtual std::uint32_t Held(const GroupId& aGroup) = 0;
 };
 
 } // namespace papayaspindle
--- a/src/libs/decision/allowance/allowanceholder.cpp
+++ b/src/libs/decision/allowance/allowanceholder.cpp
@@ -63,6 +63,18 @@
   return 0;
 }
 
+std::uint32_t
+AllowanceHolder::Lease() const
+{
+  return mLease;
+}
+
+TimePoint
+AllowanceHolder::LeaseEnd() const
+{
+  return mLeaseEnd;
+}
+
 std::uint32_t
 AllowanceHolder::Allowance(TimePoint aNow) const
 {
@@ -92,4 +104,10 @@
   return mClaim;
 }
 
+std::uint64_t
+AllowanceHolder::RecordVersion() const
+{
+  return mRecord.mVersion;
+}
+
 } // namespace papayaspindle
--- a/src/libs/decision/allowance/allowanceholder.h
+++ b/src/libs/decision/allowance/allowanceholder.h
@@ -46,6 +46,9 @@
 
   /** @return connections usable whatever happens to the keeper and the table service */
   [[nodiscard]] std::uint32_t Floor() const;
+  /** @return size of the lease that is used until LeaseEnd */
+  [[nodiscard]] std::uint32_t Lease() const;
+  [[nodiscard]] TimePoint LeaseEnd() const;
   /** @return connections that may be open at aNow */
   [[nodiscard]] std::uint32_t Allowance(TimePoint aNow) const;
   /**
@@ -62,6 +65,8 @@
                                                         TimePoint aNow) const;
   /** @return the highest claim seen, for lease requests */
   [[nodiscard]] std::uint64_t Claim() const;
+  /** @return the version of the record known; 0 before it was read */
+  [[nodiscard]] std::uint64_t RecordVersion() const;
 
 private:
   InstanceId mSelf;
--- a/src/libs/decision/allowance/allowanceledger.cpp
+++ b/src/libs/decision/allowance/allowanceledger.cpp
@@ -71,6 +71,7 @@
   DropExpired(aNow);
   Holder& holder = mHolders[aRequest.mHolder];
   holder.mDemand = aRequest.mDemand;
+  holder.mInUse = aRequest.mInUse;
   holder.mAskedAt = aNow;
   const std::uint32_t others = Outstanding(aNow) - OutstandingOf(holder, aNow);
   const std::uint32_t pool = Pool();
@@ -163,7 +164,8 @@
 std::uint32_t
 AllowanceLedger::OutstandingOf(const Holder& aHolder, TimePoint aNow)
 {
-  std::uint32_t most = 0;
+  const bool fresh = aNow - aHolder.mAskedAt < kLeaseDuration;
+  std::uint32_t most = fresh ? aHolder.mInUse : 0;
   for (const Lease& lease : aHolder.mLeases) {
     if (aNow < lease.mUntil) {
       most = std::max(most, lease.mCount);
--- a/src/libs/decision/allowance/allowanceledger.h
+++ b/src/libs/decision/allowance/allowanceledger.h
@@ -17,6 +17,8 @@
   std::uint32_t mDemand = 0;
   /** The highest claim that the holder has seen. */
   std::uint64_t mClaim = 0;
+  /** Connections held beyond the floor. */
+  std::uint32_t mInUse = 0;
 };
 
 /** Why a lease is refused. */
@@ -72,7 +74,8 @@
    * Grants a lease by demand.
    *
    * A holder's earlier leases stay reserved until they expire, because it may not receive
-   * this answer and go on using them.
+   * this answer and go on using them. Connections that it reports as held stay reserved
+   * too: one with an open transaction is closed only when it is released.
    *
    * @param aValidEpoch epoch of this instance's authority, if it is valid at aNow
    */
@@ -102,6 +105,7 @@
   struct Holder
   {
     std::uint32_t mDemand = 0;
+    std::uint32_t mInUse = 0;
     TimePoint mAskedAt;
     std::vector<Lease> mLeases;
   };
--- a/tests/auto/allowance/tst_allowanceledger.cpp
+++ b/tests/auto/allowance/tst_allowanceledger.cpp
@@ -157,6 +157,16 @@
   CHECK(f.mLedger.Limit() == 10);
 }
 
+// Guards against a lease of connections that a long transaction holds past its own lease.
+TEST_CASE("connections in use stay reserved after their lease", "[allowance]")
+{
+  Fixture f;
+  CHECK(f.Lease(f.mA, 8) == 12);
+  f.mLedger.Grant({ kB, 8, 1, 0 }, 1, f.mNow + 2s);
+  CHECK(f.mLedger.Grant({ kA, 8, 1, 6 }, 1, f.mNow + 2s).mGranted == 4);
+  CHECK(f.mLedger.Grant({ kB, 8, 1, 0 }, 1, f.mNow + 3s).mGranted == 2);
+}
+
 // Guards against floors that rise while leases use the same connections.
 TEST_CASE("floors rise only once the pool has room", "[allowance]")
 {
