--- a/src/libs/daemon/configuration/commitdriver.h
+++ b/src/libs/daemon/configuration/commitdriver.h
@@ -22,8 +22,6 @@
 
 /** Returns the wall clock in milliseconds since 1970; for metrics only. */
 using UnixMsHook = std::function<std::uint64_t()>;
-/** Waits for a time; tests advance their clock instead. */
-using PauseHook = std::function<void(std::chrono::milliseconds)>;
 
 /** Carries out a CommitRun against the store, within the time of an operator call. */
 class CommitDriver
--- a/src/libs/daemon/statements/statementhooks.h
+++ b/src/libs/daemon/statements/statementhooks.h
@@ -2,13 +2,8 @@
 
 #include "core/hooks.h"
 
-#include <functional>
-
 namespace papayaspindle {
 
-/** Pauses the calling thread; tests pass one that advances a manual clock. */
-using PauseHook = std::function<void(Duration)>;
-
 /** Sources of time and random numbers for the data path. */
 struct StatementHooks
 {
--- a/tests/auto/daemon/configuration/tst_configurationmanager.cpp
+++ b/tests/auto/daemon/configuration/tst_configurationmanager.cpp
@@ -50,7 +50,7 @@
         },
         [&aPlatform] { return aPlatform.mNow; },
         [&aPlatform] { return aPlatform.mUnixMs; },
-        [&aPlatform](std::chrono::milliseconds aTime) { aPlatform.mNow += aTime; },
+        [&aPlatform](Duration aTime) { aPlatform.mNow += aTime; },
       },
       settings);
   }
