--- a/src/app/experiment/callerclient.cpp
+++ b/src/app/experiment/callerclient.cpp
@@ -61,34 +61,34 @@
 }
 
 v1::Caller::Stub&
-CallerClient::StubFor(std::size_t aInstance, std::size_t aSpread) const
+CallerClient::StubFor(std::size_t aInstance, std::size_t aSession) const
 {
-  return *mStubs[aInstance][aSpread % kConnectionsPerInstance];
+  return *mStubs[aInstance][aSession % kConnectionsPerInstance];
 }
 
 v1::ExecuteReply
 CallerClient::Execute(std::size_t aInstance,
-                      std::size_t aSpread,
-                      const v1::ExecuteRequest& aRequest) const
+                      std::size_t aSession,
+                      const v1::ExecuteRequest& aRequest)
 {
   grpc::ClientContext context;
   SetDeadline(context, aRequest);
   v1::ExecuteReply reply;
   const grpc::Status status =
-    StubFor(aInstance, aSpread).Execute(&context, aRequest, &reply);
+    StubFor(aInstance, aSession).Execute(&context, aRequest, &reply);
   return ReplyOrError(status, std::move(reply));
 }
 
 v1::OutcomeReply
 CallerClient::Outcome(std::size_t aInstance,
-                      std::size_t aSpread,
-                      const v1::OutcomeRequest& aRequest) const
+                      std::size_t aSession,
+                      const v1::OutcomeRequest& aRequest)
 {
   grpc::ClientContext context;
   SetDeadline(context, aRequest);
   v1::OutcomeReply reply;
   const grpc::Status status =
-    StubFor(aInstance, aSpread).Outcome(&context, aRequest, &reply);
+    StubFor(aInstance, aSession).Outcome(&context, aRequest, &reply);
   return ReplyOrError(status, std::move(reply));
 }
 
--- a/src/app/experiment/experimentoptions.cpp
+++ b/src/app/experiment/experimentoptions.cpp
@@ -9,6 +9,7 @@
 
 DEFINE_string(entries, "", "IP:PORT of each entry instance, separated by commas");
 DEFINE_string(log_members, "", "GROUP=IP:PORT of each member, separated by commas");
+DEFINE_bool(direct, false, "send to the members' primaries, without entry instances");
 DEFINE_string(mix, "iazul", "iazul or notices");
 DEFINE_double(rate, 100, "requests per second; 0 for a closed loop");
 DEFINE_bool(poisson, false, "exponential pauses between requests instead of equal ones");
@@ -27,11 +28,23 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 15> kFlags{
-  "entries",     "log_members",    "mix",        "rate",
-  "poisson",     "seconds",        "sessions",   "experiment_seed",
-  "view_age_ms", "move_percent",   "give_up_ms", "request_timeout_ms",
-  "faults",      "visit_requests", "output",
+constexpr std::array<std::string_view, 16> kFlags{
+  "direct",
+  "entries",
+  "log_members",
+  "mix",
+  "rate",
+  "poisson",
+  "seconds",
+  "sessions",
+  "experiment_seed",
+  "view_age_ms",
+  "move_percent",
+  "give_up_ms",
+  "request_timeout_ms",
+  "faults",
+  "visit_requests",
+  "output",
 };
 
 Error
@@ -105,8 +118,10 @@
   for (const std::string_view entry : Parts(FLAGS_entries)) {
     options.mEntries.emplace_back(entry);
   }
-  if (options.mEntries.empty() || ValueOf(members).empty()) {
-    return Wrong(options.mEntries.empty() ? "entries" : "log_members", "is missing");
+  options.mDirect = FLAGS_direct;
+  const bool noEntries = options.mEntries.empty() && !options.mDirect;
+  if (noEntries || ValueOf(members).empty()) {
+    return Wrong(noEntries ? "entries" : "log_members", "is missing");
   }
   if (FLAGS_mix != "iazul" && FLAGS_mix != "notices") {
     return Wrong("mix", "allowed are iazul and notices");
--- a/src/app/experiment/experimentoptions.h
+++ b/src/app/experiment/experimentoptions.h
@@ -20,6 +20,8 @@
   std::vector<std::string> mEntries;
   /** Members whose logs are checked at the end; its groups get the load. */
   MemberAddresses mMembers;
+  /** Sends to the primaries without entry instances, for comparison. */
+  bool mDirect = false;
   std::string mMix;
   /** Requests per second; 0 for a closed loop. */
   double mRate = 0;
--- a/src/app/experiment/experimentresult.cpp
+++ b/src/app/experiment/experimentresult.cpp
@@ -157,6 +157,7 @@
   const TallyValues& tally = aResult.mTally;
   JsonObject json;
   json.Text("mix", aOptions.mMix);
+  json.Raw("direct", aOptions.mDirect ? "true" : "false");
   json.Number("rate", aOptions.mRate);
   json.Number("seed", aOptions.mSeed);
   json.Number("sessions", std::uint64_t{ aOptions.mSessions });
--- a/src/app/experiment/loadrun.cpp
+++ b/src/app/experiment/loadrun.cpp
@@ -2,6 +2,7 @@
 
 #include "experiment/arrivalschedule.h"
 #include "experiment/callerclient.h"
+#include "experiment/directclient.h"
 #include "experiment/faultrunner.h"
 #include "experiment/loadsession.h"
 #include "experiment/registerhistory.h"
@@ -12,6 +13,7 @@
 #include <fmt/core.h>
 
 #include <cstdio>
+#include <memory>
 #include <thread>
 
 namespace papayaspindle::experiment {
@@ -85,6 +87,15 @@
   }
 }
 
+std::unique_ptr<StatementClient>
+MakeClient(const ExperimentOptions& aOptions)
+{
+  if (aOptions.mDirect) {
+    return std::make_unique<DirectClient>(aOptions.mMembers);
+  }
+  return std::make_unique<CallerClient>(aOptions.mEntries);
+}
+
 void
 CheckLogs(const ExperimentOptions& aOptions,
           const WriteLedger& aLedger,
@@ -110,7 +121,7 @@
   }
   RegisterHistory history;
   const auto mix = MakeMix(aOptions.mMix, mixOptions, history);
-  const CallerClient client(aOptions.mEntries);
+  const std::unique_ptr<StatementClient> client = MakeClient(aOptions);
   WriteLedger ledger;
   Tally tally;
   MetricRegistry metrics;
@@ -118,7 +129,7 @@
   result.mStart = Clock::now();
   GapTracker gaps(result.mStart);
   const LoadContext context{
-    client,
+    *client,
     *mix,
     history,
     ledger,
--- a/src/app/experiment/loadsession.cpp
+++ b/src/app/experiment/loadsession.cpp
@@ -1,8 +1,8 @@
 #include "experiment/loadsession.h"
 
-#include "experiment/callerclient.h"
 #include "experiment/gaptracker.h"
 #include "experiment/registerhistory.h"
+#include "experiment/statementclient.h"
 #include "experiment/tally.h"
 #include "experiment/writeledger.h"
 #include "observe/metricregistry.h"
--- a/src/app/experiment/loadsession.h
+++ b/src/app/experiment/loadsession.h
@@ -17,7 +17,7 @@
 
 namespace papayaspindle::experiment {
 
-class CallerClient;
+class StatementClient;
 class GapTracker;
 class RegisterHistory;
 class Tally;
@@ -26,7 +26,7 @@
 /** What all sessions of an experiment share; everything outlives them. */
 struct LoadContext
 {
-  const CallerClient& mClient;
+  StatementClient& mClient;
   WorkloadMix& mMix;
   RegisterHistory& mHistory;
   WriteLedger& mLedger;
--- a/src/standin/faultsmain.cpp
+++ b/src/standin/faultsmain.cpp
@@ -7,6 +7,7 @@
 #include <gflags/gflags.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,7 +28,11 @@
   "  set FIELD=VALUE... change some switches (fields of FaultSettings)\n"
   "  clear              switch all faults off\n"
   "  status             print a backend server's status\n"
-  "  log                print a backend server's log";
+  "  log                print a backend server's log\n"
+  "  lead TERM PRIMARY NAME=IP:PORT...\n"
+  "                     raise a term at all members named, and make PRIMARY their "
+  "primary;\n"
+  "                     needs no --target";
 
 class Client
 {
@@ -137,6 +142,72 @@
   return Report(read, reply.ShortDebugString());
 }
 
+std::unique_ptr<v1::Backend::Stub>
+MemberStub(const v1::MemberAddress& aMember)
+{
+  return v1::Backend::NewStub(
+    grpc::CreateChannel(aMember.address(), grpc::InsecureChannelCredentials()));
+}
+
+/** Raises the term and gives the member its role. @return whether the member agreed */
+bool
+Lead(std::uint64_t aTerm,
+     const v1::MemberAddress& aPrimary,
+     const v1::MemberAddress& aMember)
+{
+  const auto stub = MemberStub(aMember);
+  const bool leads = aMember.member() == aPrimary.member();
+  grpc::ClientContext raiseContext;
+  v1::RaiseTermRequest raise;
+  raise.set_term(aTerm);
+  raise.set_keeper("standin-faults");
+  v1::RaiseTermReply raised;
+  if (!stub->RaiseTerm(&raiseContext, raise, &raised).ok() || !raised.granted()) {
+    return false;
+  }
+  grpc::ClientContext context;
+  if (leads) {
+    v1::PromoteRequest promote;
+    promote.set_term(aTerm);
+    promote.set_keeper(raise.keeper());
+    v1::PromoteReply reply;
+    return stub->Promote(&context, promote, &reply).ok() && reply.promoted();
+  }
+  v1::FollowRequest follow;
+  follow.set_term(aTerm);
+  *follow.mutable_primary() = aPrimary;
+  v1::FollowReply reply;
+  return stub->Follow(&context, follow, &reply).ok() && reply.following();
+}
+
+int
+LeadGroup(const std::vector<std::string>& aWords)
+{
+  v1::MemberAddress primary;
+  std::vector<v1::MemberAddress> members;
+  for (std::size_t at = 3; at < aWords.size(); ++at) {
+    const std::size_t equals = aWords[at].find('=');
+    v1::MemberAddress& member = members.emplace_back();
+    member.set_member(aWords[at].substr(0, equals));
+    member.set_address(aWords[at].substr(equals + 1));
+    if (member.member() == aWords[2]) {
+      primary = member;
+    }
+  }
+  const std::uint64_t term = std::strtoull(aWords[1].c_str(), nullptr, 10);
+  if (primary.address().empty() || term == 0) {
+    fmt::print(stderr, "{}\n", kUsage);
+    return 2;
+  }
+  for (const v1::MemberAddress& member : members) {
+    if (!Lead(term, primary, member)) {
+      fmt::print(stderr, "{} refuses term {}\n", member.member(), term);
+      return 1;
+    }
+  }
+  return 0;
+}
+
 } // namespace
 
 int
@@ -145,6 +216,9 @@
   gflags::SetUsageMessage(kUsage);
   gflags::ParseCommandLineFlags(&aArgc, &aArgv, true);
   const std::vector<std::string> words(aArgv + 1, aArgv + aArgc);
+  if (words.size() > 3 && words[0] == "lead") {
+    return LeadGroup(words);
+  }
   if (FLAGS_target.empty() || words.empty()) {
     fmt::print(stderr, "{}\n", kUsage);
     return 2;
--- a/tests/auto/experiment/tst_loadsession.cpp
+++ b/tests/auto/experiment/tst_loadsession.cpp
@@ -124,7 +124,7 @@
     builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
     builder.RegisterService(&service);
     const auto server = builder.BuildAndStart();
-    const CallerClient client({ "127.0.0.1:" + std::to_string(port) });
+    CallerClient client({ "127.0.0.1:" + std::to_string(port) });
     PaymentMix mix;
     RegisterHistory history;
     WriteLedger ledger;
