Test the remaining gRPC clients and idle member connections

An idle connection whose backend server has ended refuses as not sent. A socket that the system does not take into the poll set now closes its connection.

--- a/src/libs/transport/ioloop.cpp
+++ b/src/libs/transport/ioloop.cpp
@@ -196,8 +196,9 @@
 void
 IoLoop::Watch(const Poco::Net::Socket& aSocket, Task aReady)
 {
-  mPrivate->mReady[aSocket.impl()] = std::make_shared<Task>(std::move(aReady));
+  // First what may throw, so that only sockets in the set have a task.
   mPrivate->mSockets.add(aSocket, PollSet::POLL_READ | PollSet::POLL_ERROR);
+  mPrivate->mReady[aSocket.impl()] = std::make_shared<Task>(std::move(aReady));
 }
 
 void
--- a/src/libs/transport/ioloop.h
+++ b/src/libs/transport/ioloop.h
@@ -27,7 +27,11 @@
   /** Runs the tasks posted so far, then joins the thread. Not for the loop's thread. */
   void Stop();
 
-  /** Calls aReady whenever the socket can be read, or has failed. */
+  /**
+   * Calls aReady whenever the socket can be read, or has failed.
+   *
+   * @throws Poco::Exception when the system takes no further socket
+   */
   void Watch(const Poco::Net::Socket& aSocket, Task aReady);
   /** Calls the socket's task also when it can be written. */
   void WatchWrite(const Poco::Net::Socket& aSocket, bool aEnable);
--- a/src/libs/transport/peerchannel.cpp
+++ b/src/libs/transport/peerchannel.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/ioloop.h"
 
+#include <Poco/Exception.h>
+
 #include <array>
 #include <span>
 #include <utility>
@@ -40,11 +42,16 @@
   ++mCounters.mConnections;
   ++mCounters.mConnectionsOpened;
   mConnecting = aConnecting;
-  mLoop.Watch(mSocket.Socket(), [channel = weak_from_this()] {
-    if (const auto self = channel.lock()) {
-      self->HandleReady();
-    }
-  });
+  try {
+    mLoop.Watch(mSocket.Socket(), [channel = weak_from_this()] {
+      if (const auto self = channel.lock()) {
+        self->HandleReady();
+      }
+    });
+  } catch (const Poco::Exception& exception) {
+    Close({ exception.displayText(), false });
+    return;
+  }
   if (mConnecting) {
     SetWatchWrite(true);
     return;
--- a/tests/auto/transport/backendfixture.h
+++ b/tests/auto/transport/backendfixture.h
@@ -33,6 +33,15 @@
     return mStatus(*aContext, *aReply);
   }
 
+  grpc::Status WaitForPosition(grpc::ServerContext* /*aContext*/,
+                               const v1::WaitForPositionRequest* aRequest,
+                               v1::StatusReply* aReply) override
+  {
+    *aReply->mutable_applied() = aRequest->position();
+    aReply->set_primary_silence_ms(aRequest->timeout_ms());
+    return grpc::Status::OK;
+  }
+
   grpc::Status Session(
     grpc::ServerContext* /*aContext*/,
     grpc::ServerReaderWriter<v1::SessionAnswer, v1::SessionRequest>* aStream) override
@@ -65,12 +74,39 @@
   }
 };
 
-/** Both services on a free port of the loopback address. */
+/** An object store whose answers a test decides. */
+class ScriptedObjects : public v1::ObjectStore::Service
+{
+public:
+  grpc::Status mAnswer;
+
+  grpc::Status PutObject(grpc::ServerContext* /*aContext*/,
+                         const v1::PutObjectRequest* aRequest,
+                         v1::PutObjectReply* /*aReply*/) override
+  {
+    mContent = aRequest->content();
+    return mAnswer;
+  }
+
+  grpc::Status FetchObject(grpc::ServerContext* /*aContext*/,
+                           const v1::FetchObjectRequest* /*aRequest*/,
+                           v1::FetchObjectReply* aReply) override
+  {
+    aReply->set_content(mContent);
+    return mAnswer;
+  }
+
+private:
+  std::string mContent;
+};
+
+/** The services on a free port of the loopback address. */
 class GrpcFixture
 {
 public:
   ScriptedBackend mBackend;
   ScriptedTable mTable;
+  ScriptedObjects mObjects;
 
   explicit GrpcFixture(const std::shared_ptr<grpc::ServerCredentials>& aCredentials =
                          grpc::InsecureServerCredentials())
@@ -80,6 +116,7 @@
     builder.AddListeningPort("127.0.0.1:0", aCredentials, &port);
     builder.RegisterService(&mBackend);
     builder.RegisterService(&mTable);
+    builder.RegisterService(&mObjects);
     mServer = builder.BuildAndStart();
     mAddress = "127.0.0.1:" + std::to_string(port);
   }
--- a/tests/auto/transport/tst_grpcclients.cpp
+++ b/tests/auto/transport/tst_grpcclients.cpp
@@ -1,5 +1,7 @@
+#include "transport/grpcinstancelisting.h"
 #include "transport/grpcmemberconnection.h"
 #include "transport/grpcmembercontrol.h"
+#include "transport/grpcobjectstorage.h"
 #include "transport/grpctablestore.h"
 
 #include "transport/backendfixture.h"
@@ -255,3 +257,56 @@
   REQUIRE_FALSE(IsOk(refused));
   CHECK(ErrorOf(refused).mKind == kUnreachable);
 }
+
+// Guards against OutcomeUnknown for writes after a primary's end: they were not sent.
+TEST_CASE("an idle connection notices the end of its backend server", "[transport]")
+{
+  GrpcFixture server;
+  server.mBackend.mSession = ScriptedAnswer;
+  ChannelTable channels(Settings());
+  const auto connection = OpenTo(channels, server);
+  REQUIRE(IsOk(connection->Run(Statement("one"), Clock::now() + kLong)));
+  server.Stop();
+  const auto after = connection->Run(Statement("two"), Clock::now() + kLong);
+  REQUIRE_FALSE(IsOk(after));
+  CHECK(ErrorOf(after).mKind == kUnreachable);
+  CHECK_FALSE(connection->IsOpen());
+}
+
+TEST_CASE("the object store's errors say what may have happened", "[transport]")
+{
+  GrpcFixture server;
+  GrpcObjectStorage objects(server.Address(), Settings());
+  v1::PutObjectRequest put;
+  put.set_content("snapshot");
+  REQUIRE(IsOk(objects.Put(put, kLong)));
+  const auto fetched = objects.Fetch(v1::FetchObjectRequest(), kLong);
+  REQUIRE(IsOk(fetched));
+  CHECK(ValueOf(fetched).content() == "snapshot");
+
+  server.mObjects.mAnswer = grpc::Status(grpc::StatusCode::INTERNAL, "outage");
+  const auto unknown = objects.Put(put, kLong);
+  REQUIRE_FALSE(IsOk(unknown));
+  CHECK(ErrorOf(unknown).mKind == kUnknown);
+  const auto unread = objects.Fetch(v1::FetchObjectRequest(), kLong);
+  REQUIRE_FALSE(IsOk(unread));
+  CHECK(ErrorOf(unread).mKind == kStore);
+  // The server has no such service.
+  const auto list = GrpcInstanceListing(server.Address(), Settings()).List(kLong);
+  REQUIRE_FALSE(IsOk(list));
+  CHECK(ErrorOf(list).mKind == kStore);
+}
+
+// Guards against an answer that always arrives just after the call's deadline.
+TEST_CASE("a member is asked to answer before the call's deadline", "[transport]")
+{
+  GrpcFixture server;
+  GrpcMemberControl control(Settings());
+  const auto reply =
+    control.WaitForPosition(server.Address(), LogPosition{ 3, 7 }, kLong);
+  REQUIRE(IsOk(reply));
+  CHECK(ValueOf(reply).applied().index() == 7);
+  const std::chrono::milliseconds asked(ValueOf(reply).primary_silence_ms());
+  CHECK(asked > kLong / 2);
+  CHECK(asked < kLong);
+}
