--- a/src/libs/decision/failover/failoveraction.h
+++ b/src/libs/decision/failover/failoveraction.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -77,6 +78,9 @@
   NoMajority,
 };
 
+/** @return the end in words */
+std::string_view EndText(FailoverEnd aEnd);
+
 /** The failover is over. */
 struct Finish
 {
--- a/src/libs/decision/failover/failoverrun.cpp
+++ b/src/libs/decision/failover/failoverrun.cpp
@@ -7,28 +7,6 @@
 
 namespace papayaspindle {
 
-namespace {
-
-std::string_view
-EndText(FailoverEnd aEnd)
-{
-  switch (aEnd) {
-    case FailoverEnd::Promoted:
-      return "view announced";
-    case FailoverEnd::PrimaryAnswered:
-      return "primary answered, nothing changed";
-    case FailoverEnd::NotConfirmed:
-      return "suspicion not confirmed, nothing changed";
-    case FailoverEnd::Conflict:
-      return "higher term seen";
-    case FailoverEnd::NoMajority:
-      return "no majority of members answers";
-  }
-  return "";
-}
-
-} // namespace
-
 FailoverRun::FailoverRun(const FailoverSetup& aSetup,
                          const FailoverSettings& aSettings,
                          RandomHook aRandom,
--- a/src/libs/decision/failover/groupkeeper.cpp
+++ b/src/libs/decision/failover/groupkeeper.cpp
@@ -50,11 +50,6 @@
     }
     return actions;
   }
-  for (const FailoverMember& member : mInput.mMembers) {
-    if (mSuspicion.TakeProbe(member.mMember)) {
-      actions.emplace_back(SendStatus{ member.mMember });
-    }
-  }
   if (mRun && IsSuperseded()) {
     mRun.reset();
   }
@@ -142,6 +137,7 @@
                action);
   }
   if (mRun && mRun->End()) {
+    mLastEnd = mRun->End();
     if (mRun->Term() > 0) {
       mLast = SummaryOf(*mRun);
     }
@@ -171,12 +167,6 @@
   return mRun ? Take(mRun->OnNoAnswer(aMember, aNow), aNow) : KeeperActions{};
 }
 
-void
-GroupKeeper::OnTrafficError(const MemberId& aMember, TimePoint aNow)
-{
-  mSuspicion.OnTrafficError(aMember, aNow);
-}
-
 KeeperActions
 GroupKeeper::OnConfirmation(const ConfirmationReply& aReply, TimePoint aNow)
 {
@@ -228,8 +218,10 @@
 }
 
 ConfirmationReply
-GroupKeeper::Confirm(const MemberId& aMember, TimePoint aNow) const
+GroupKeeper::Confirm(const MemberId& aMember, TimePoint aNow)
 {
+  // Right after a pause of this instance, the member's silence is not known.
+  mSuspicion.OnTick(aNow);
   const Duration silence = mSuspicion.Silence(aMember, aNow);
   return { mInstance,
            !mSuspicion.HasFailed(aMember),
@@ -243,6 +235,12 @@
   return mRun.has_value();
 }
 
+std::optional<FailoverEnd>
+GroupKeeper::LastEnd() const
+{
+  return mLastEnd;
+}
+
 FailoverSummary
 GroupKeeper::Summary() const
 {
--- a/src/libs/decision/failover/groupkeeper.h
+++ b/src/libs/decision/failover/groupkeeper.h
@@ -78,8 +78,6 @@
   KeeperActions OnStatus(const MemberStatus& aStatus, TimePoint aNow);
   /** A poll or another call to the member was not answered. */
   KeeperActions OnNoAnswer(const MemberId& aMember, PollFailure aFailure, TimePoint aNow);
-  /** An error of data traffic: the member is polled at the next tick. */
-  void OnTrafficError(const MemberId& aMember, TimePoint aNow);
   KeeperActions OnConfirmation(const ConfirmationReply& aReply, TimePoint aNow);
   KeeperActions OnRaiseTermReply(const ControlReply& aReply, TimePoint aNow);
   KeeperActions OnPromoteReply(const ControlReply& aReply, TimePoint aNow);
@@ -91,9 +89,11 @@
   void OnRecordFailure(TimePoint aNow);
 
   /** @return this home's answer to another home that suspects a member */
-  [[nodiscard]] ConfirmationReply Confirm(const MemberId& aMember, TimePoint aNow) const;
+  ConfirmationReply Confirm(const MemberId& aMember, TimePoint aNow);
   /** @return whether a failover runs here */
   [[nodiscard]] bool IsRunning() const;
+  /** @return how the last failover here ended, or nothing before the first */
+  [[nodiscard]] std::optional<FailoverEnd> LastEnd() const;
   /** @return the failover that runs, or else the last one that fenced the group */
   [[nodiscard]] FailoverSummary Summary() const;
   /** @return time since the member's last answer */
@@ -118,6 +118,7 @@
   std::optional<FailoverRun> mRun;
   TimePoint mNotBefore;
   FailoverSummary mLast;
+  std::optional<FailoverEnd> mLastEnd;
 };
 
 } // namespace papayaspindle
--- a/src/libs/decision/failover/suspiciontracker.cpp
+++ b/src/libs/decision/failover/suspiciontracker.cpp
@@ -1,7 +1,5 @@
 #include "decision/failover/suspiciontracker.h"
 
-#include <utility>
-
 namespace papayaspindle {
 
 SuspicionTracker::SuspicionTracker(const SuspicionSettings& aSettings)
@@ -38,19 +36,6 @@
   StateOf(aMember, aNow).mFailure = aFailure;
 }
 
-void
-SuspicionTracker::OnTrafficError(const MemberId& aMember, TimePoint aNow)
-{
-  StateOf(aMember, aNow).mProbe = true;
-}
-
-bool
-SuspicionTracker::TakeProbe(const MemberId& aMember)
-{
-  const auto found = mStates.find(aMember);
-  return found != mStates.end() && std::exchange(found->second.mProbe, false);
-}
-
 std::optional<PollFailure>
 SuspicionTracker::Suspicion(const MemberId& aMember, int aRank, TimePoint aNow) const
 {
@@ -84,7 +69,7 @@
 SuspicionTracker::State&
 SuspicionTracker::StateOf(const MemberId& aMember, TimePoint aNow)
 {
-  return mStates.try_emplace(aMember, State{ aNow, std::nullopt, false }).first->second;
+  return mStates.try_emplace(aMember, State{ aNow, std::nullopt }).first->second;
 }
 
 } // namespace papayaspindle
--- a/src/libs/decision/failover/suspiciontracker.h
+++ b/src/libs/decision/failover/suspiciontracker.h
@@ -40,12 +40,6 @@
   void OnTick(TimePoint aNow);
   void OnAnswer(const MemberId& aMember, TimePoint aNow);
   void OnFailure(const MemberId& aMember, PollFailure aFailure, TimePoint aNow);
-  /** Notes an error of data traffic. It proves nothing, but the member is to be polled
-   * now. */
-  void OnTrafficError(const MemberId& aMember, TimePoint aNow);
-
-  /** @return whether the member is to be polled at once; answered once for each error */
-  bool TakeProbe(const MemberId& aMember);
 
   /**
    * @param aRank this instance's rank among the group's homes
@@ -67,7 +61,6 @@
     TimePoint mLastAnswer;
     /** Last failure since the last answer. */
     std::optional<PollFailure> mFailure;
-    bool mProbe = false;
   };
 
   State& StateOf(const MemberId& aMember, TimePoint aNow);
