--- a/src/libs/daemon/statements/outcomelookup.cpp
+++ b/src/libs/daemon/statements/outcomelookup.cpp
@@ -1,8 +1,6 @@
 #include "daemon/statements/outcomelookup.h"
 
 #include "convert/convert.h"
-#include "daemon/statements/freshnessboard.h"
-#include "daemon/statements/membersession.h"
 #include "daemon/statements/primaryaccess.h"
 #include "daemon/statements/statementsettings.h"
 #include "interfaces/membercontrol.h"
@@ -67,12 +65,11 @@
 OutcomeLookup::~OutcomeLookup() = default;
 
 RequestOutcome
-OutcomeLookup::Run(HomeRequest& aRequest,
+OutcomeLookup::Run(const HomeRequest& aRequest,
                    const std::string& aRequestId,
                    std::optional<std::uint64_t> aHighestSentTerm) const
 {
   const auto memberCount = aRequest.mGroup.mMembers.size();
-  std::uint64_t markedTerm = 0;
   for (;;) {
     const auto view = AwaitPrimary(mPath, aRequest.mGroup.mGroup, 0, aRequest.mDeadline);
     if (!view) {
@@ -97,10 +94,6 @@
         mPath.mHooks.mNow() >= aRequest.mDeadline) {
       return {};
     }
-    if (!isSettled && markedTerm != view->mTerm) {
-      markedTerm = view->mTerm;
-      WriteMarker(aRequest, *view);
-    }
     AwaitLaterView(
       mPath, *view, mPath.mHooks.mNow() + mPath.mSettings.mRetries.mFirstPause);
   }
@@ -142,14 +135,4 @@
   return round->mReports;
 }
 
-void
-OutcomeLookup::WriteMarker(HomeRequest& aRequest, const GroupView& aView) const
-{
-  auto session =
-    MemberSession::Open(mPath, aRequest, { aView.mPrimary, aView.mTerm, true, false });
-  if (IsOk(session)) {
-    EnsureTermEntry(mPath, aRequest, *ValueOf(session), aView, LogPosition{});
-  }
-}
-
 } // namespace papayaspindle
--- a/src/libs/daemon/statements/outcomelookup.h
+++ b/src/libs/daemon/statements/outcomelookup.h
@@ -25,7 +25,7 @@
    *
    * @param aHighestSentTerm as of DecideOutcome
    */
-  RequestOutcome Run(HomeRequest& aRequest,
+  RequestOutcome Run(const HomeRequest& aRequest,
                      const std::string& aRequestId,
                      std::optional<std::uint64_t> aHighestSentTerm) const;
 
@@ -33,7 +33,6 @@
   std::vector<FindRequestReport> AskMembers(const HomeRequest& aRequest,
                                             const GroupView& aView,
                                             const std::string& aRequestId) const;
-  void WriteMarker(HomeRequest& aRequest, const GroupView& aView) const;
 
   struct Private;
   const DataPath& mPath;
--- a/src/libs/daemon/statements/primaryaccess.cpp
+++ b/src/libs/daemon/statements/primaryaccess.cpp
@@ -1,21 +1,15 @@
 #include "daemon/statements/primaryaccess.h"
 
-#include "daemon/statements/freshnessboard.h"
-#include "daemon/statements/membersession.h"
 #include "daemon/statements/statementsettings.h"
 #include "interfaces/groups.h"
 #include "observe/tracer.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 
 namespace papayaspindle {
 
 namespace {
 
-constexpr std::string_view kReservedPrefix = "papayaspindle-";
-
 Duration
 PollPause(const DataPath& aPath, TimePoint aUntil)
 {
@@ -32,12 +26,6 @@
 
 } // namespace
 
-bool
-IsReservedRequestId(std::string_view aRequestId)
-{
-  return aRequestId.starts_with(kReservedPrefix);
-}
-
 std::optional<GroupView>
 AwaitPrimary(const DataPath& aPath,
              const GroupId& aGroup,
@@ -71,33 +59,6 @@
   }
 }
 
-void
-EnsureTermEntry(const DataPath& aPath,
-                const HomeRequest& aRequest,
-                MemberSession& aSession,
-                const GroupView& aView,
-                const LogPosition& aAnswered)
-{
-  if (aAnswered.mTerm >= aView.mTerm) {
-    return;
-  }
-  const auto progress = aPath.mFreshness.ProgressOf(aView.mGroup, aView.mPrimary);
-  const bool hasEntry =
-    progress && progress->mTerm == aView.mTerm && progress->mLast.mTerm == aView.mTerm;
-  if (hasEntry) {
-    return;
-  }
-  v1::SessionRequest marker;
-  marker.set_kind(v1::STATEMENT_KIND_EXECUTE);
-  marker.set_write(true);
-  marker.set_statement(aPath.mSettings.mMarkerStatement);
-  marker.set_request_id(fmt::format("{}marker-{}", kReservedPrefix, aView.mTerm));
-  const auto limit = aPath.mHooks.mNow() + aPath.mSettings.mFirstAttempt;
-  // A failure needs no handling: the wait that follows does not find the entry.
-  static_cast<void>(
-    aSession.Run(std::move(marker), std::min<TimePoint>(limit, aRequest.mDeadline)));
-}
-
 ReplicationOutcome
 AwaitAcknowledgement(const DataPath& aPath,
                      const HomeRequest& aRequest,
--- a/src/libs/daemon/statements/primaryaccess.h
+++ b/src/libs/daemon/statements/primaryaccess.h
@@ -9,11 +9,6 @@
 
 namespace papayaspindle {
 
-class MemberSession;
-
-/** @return whether a request id is kept for this system's own entries */
-bool IsReservedRequestId(std::string_view aRequestId);
-
 /**
  * Waits for a view that names a primary.
  *
@@ -30,22 +25,13 @@
 void AwaitLaterView(const DataPath& aPath, const GroupView& aSeen, TimePoint aUntil);
 
 /**
- * Makes sure that the primary's term has an entry when the answered position is older.
+ * Waits, within a span, until the answered position of a write is acknowledged.
  *
- * An entry of an older term is certain only once a majority holds an entry of the current
- * term after it (see AckTracker::Target). When nobody writes in the new term, no such
- * entry would come. The marker's request id is the same for each home, so a term gets one
- * marker.
- *
- * @param aSession connection to the primary without an open transaction
+ * A position of an older term, of a repeated write, is certain only once a majority holds
+ * an entry of the current term, which comes after it in the same log
+ * (AckTracker::Target). There always is one, because a member appends an entry when it is
+ * promoted.
  */
-void EnsureTermEntry(const DataPath& aPath,
-                     const HomeRequest& aRequest,
-                     MemberSession& aSession,
-                     const GroupView& aView,
-                     const LogPosition& aAnswered);
-
-/** Waits, within a span, until the answered position of a write is acknowledged. */
 ReplicationOutcome AwaitAcknowledgement(const DataPath& aPath,
                                         const HomeRequest& aRequest,
                                         const GroupView& aView,
--- a/src/libs/daemon/statements/readrunner.cpp
+++ b/src/libs/daemon/statements/readrunner.cpp
@@ -191,7 +191,6 @@
   if (ValueOf(answer).term() != view.mTerm || position < aPlacement.mQuestion.mSession) {
     return Unconfirmed("the primary's answer is behind the session");
   }
-  EnsureTermEntry(mPath, aRequest, *ValueOf(session), view, position);
   ValueOf(session)->Release();
   if (AwaitConfirmation(mPath, aRequest, view, position) !=
       ReplicationOutcome::Acknowledged) {
--- a/src/libs/daemon/statements/replicationwatch.cpp
+++ b/src/libs/daemon/statements/replicationwatch.cpp
@@ -78,10 +78,11 @@
   ReplicationOutcome Run(const ReplicationTarget& aTarget, bool aNeedsRecent);
   std::optional<ReplicationOutcome> OutcomeOf(const Wait& aWait) const;
   bool IsSatisfied(const Wait& aWait) const;
+  bool HasCalls(const Wait& aWait) const;
   void StartCalls(const Wait& aWait, std::size_t aMaxInFlight);
   void StartCall(MemberCall aCall);
   void Call(MemberCall aCall);
-  bool ChooseNext(MemberCall& aCall, const std::optional<LogPosition>& aHeld);
+  bool ChooseNext(MemberCall& aCall, const LogPosition& aHeld);
   void EndCall(const MemberCall& aCall);
   void Deliver(const MemberCall& aCall,
                const v1::StatusReply& aReply,
@@ -118,8 +119,15 @@
   auto outcome = OutcomeOf(wait);
   for (auto maxInFlight = mSettings.mCallsPerMember; !outcome; maxInFlight = 1) {
     StartCalls(wait, maxInFlight);
-    mChanged.wait_for(
-      lock, kLookInterval, [&] { return (outcome = OutcomeOf(wait)).has_value(); });
+    mChanged.wait_for(lock, kLookInterval, [&] {
+      outcome = OutcomeOf(wait);
+      return outcome.has_value() || !HasCalls(wait);
+    });
+    if (!outcome && !HasCalls(wait)) {
+      lock.unlock();
+      mHooks.mPause(mSettings.mRepeatPause);
+      lock.lock();
+    }
     outcome = OutcomeOf(wait);
   }
   mWaits.erase(id);
@@ -150,6 +158,17 @@
                             : aWait.mTracker.IsAcknowledged();
 }
 
+/** @return whether a call to a member of the wait's group is in flight */
+bool
+ReplicationWatch::Private::HasCalls(const Wait& aWait) const
+{
+  const auto& members = aWait.mTarget.mGroup.mMembers;
+  return std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
+    const auto calls = mCalls.find({ aWait.mTarget.mGroup.mGroup, aMember.mMember });
+    return calls != mCalls.end() && !calls->second.mPositions.empty();
+  });
+}
+
 void
 ReplicationWatch::Private::StartCalls(const Wait& aWait, std::size_t aMaxInFlight)
 {
@@ -183,13 +202,12 @@
     const auto askedAt = mHooks.mNow();
     const auto reply = mReferences.mMembers.WaitForPosition(
       aCall.mAddress, aCall.mPosition, mSettings.mCallTimeout);
-    std::optional<LogPosition> held;
+    LogPosition held;
     if (IsOk(reply)) {
-      held = FromMessage(ValueOf(reply).applied());
       Deliver(aCall, ValueOf(reply), askedAt);
-    }
-    if (held.value_or(LogPosition{}) < aCall.mPosition) {
-      mHooks.mPause(mSettings.mRepeatPause);
+      // What a member of another term holds does not count.
+      const bool counts = ValueOf(reply).term() == aCall.mPosition.mTerm;
+      held = counts ? FromMessage(ValueOf(reply).applied()) : LogPosition{};
     }
     const std::lock_guard lock(mMutex);
     isNeeded = ChooseNext(aCall, held);
@@ -199,14 +217,16 @@
 
 /** @return whether to call again, for the position that is then in aCall */
 bool
-ReplicationWatch::Private::ChooseNext(MemberCall& aCall,
-                                      const std::optional<LogPosition>& aHeld)
+ReplicationWatch::Private::ChooseNext(MemberCall& aCall, const LogPosition& aHeld)
 {
   EndCall(aCall);
-  const auto held = aHeld.value_or(LogPosition{});
-  const auto next = NextPosition(aCall.mKey, held);
   auto& calls = mCalls[aCall.mKey];
-  calls.mIsSlow = held < aCall.mPosition;
+  calls.mIsSlow = aHeld < aCall.mPosition;
+  if (calls.mIsSlow) {
+    // The waits ask again at their next look.
+    return false;
+  }
+  const auto next = NextPosition(aCall.mKey, aHeld);
   const bool isCovered =
     next && !calls.mPositions.empty() && *calls.mPositions.begin() <= *next;
   if (!next || isCovered) {
--- a/src/libs/daemon/statements/requestchecks.cpp
+++ b/src/libs/daemon/statements/requestchecks.cpp
@@ -1,6 +1,5 @@
 #include "daemon/statements/requestchecks.h"
 
-#include "daemon/statements/primaryaccess.h"
 #include "daemon/statements/statementsettings.h"
 #include "decision/session/sessiontokencodec.h"
 #include "interfaces/groups.h"
@@ -30,9 +29,6 @@
   if (aRequestId.size() > kMaxNameBytes) {
     return Malformed("the request id is longer than 128 bytes");
   }
-  if (IsReservedRequestId(aRequestId)) {
-    return Malformed("the request id is reserved");
-  }
   return std::nullopt;
 }
 
--- a/src/libs/daemon/statements/statementmanager.cpp
+++ b/src/libs/daemon/statements/statementmanager.cpp
@@ -159,6 +159,7 @@
         return Error{ ErrorKind::UnknownTransaction, "" };
       }
       aTask.mOnlyHome.reset();
+      aTask.mClass = RequestClass::Read;
       return Dispatch(std::move(aTask));
     }
   }
--- a/src/libs/daemon/statements/statementsettings.h
+++ b/src/libs/daemon/statements/statementsettings.h
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <string>
 
 namespace papayaspindle {
 
@@ -35,11 +34,6 @@
   /** Time limit of one look-up of a request id at one member. */
   std::chrono::milliseconds mLookUpTimeout{ 300 };
   std::size_t mLookUpThreads = 8;
-  /**
-   * A write that changes no row. It gives a term an entry when the term has none yet but
-   * an entry of an older term has to be proven.
-   */
-  std::string mMarkerStatement = "DEL papayaspindle-marker";
 };
 
 } // namespace papayaspindle
--- a/src/libs/daemon/statements/transactionrunner.cpp
+++ b/src/libs/daemon/statements/transactionrunner.cpp
@@ -105,8 +105,6 @@
     return FailureOf(ErrorOf(opened));
   }
   auto& session = *ValueOf(opened);
-  // The transaction's own connection cannot write the marker later.
-  EnsureTermEntry(mPath, aRequest, session, aView, LogPosition{});
   const auto limit = mPath.mHooks.mNow() + mPath.mSettings.mFirstAttempt;
   const auto answer = session.Run(MessageOf(v1::STATEMENT_KIND_BEGIN),
                                   std::min<TimePoint>(limit, aRequest.mDeadline));
@@ -225,11 +223,6 @@
     // Each of its reads is confirmed already.
     return {};
   }
-  EnsureTermEntry(mPath,
-                  aRequest,
-                  *session,
-                  ViewOf(aTransaction),
-                  FromMessage(ValueOf(answer).position()));
   session->Release();
   return AcknowledgeCommit(
     aRequest, aTransaction, std::move(ValueOf(answer)), aRequestId);
--- a/src/libs/daemon/statements/writerunner.cpp
+++ b/src/libs/daemon/statements/writerunner.cpp
@@ -98,18 +98,17 @@
   if (ValueOf(answer).term() != aView.mTerm) {
     return MayHaveRun("the backend server answered in another term");
   }
-  return Acknowledge(aRequest, aView, std::move(ValueOf(answer)), *ValueOf(session));
+  // The connection serves others during the wait for replication.
+  ValueOf(session)->Release();
+  return Acknowledge(aRequest, aView, std::move(ValueOf(answer)));
 }
 
 WriteRunner::Attempt
 WriteRunner::Acknowledge(HomeRequest& aRequest,
                          const GroupView& aView,
-                         v1::SessionAnswer&& aAnswer,
-                         MemberSession& aSession) const
+                         v1::SessionAnswer&& aAnswer) const
 {
   const auto position = FromMessage(aAnswer.position());
-  EnsureTermEntry(mPath, aRequest, aSession, aView, position);
-  aSession.Release();
   if (const auto error = ErrorIn(aAnswer)) {
     // What made the statement fail has to be certain, as for a read.
     const auto outcome = AwaitConfirmation(mPath, aRequest, aView, position);
--- a/src/libs/daemon/statements/writerunner.h
+++ b/src/libs/daemon/statements/writerunner.h
@@ -11,8 +11,6 @@
 
 namespace papayaspindle {
 
-class MemberSession;
-
 /** Runs writes outside transactions, as a home. Thread-safe. */
 class WriteRunner
 {
@@ -38,8 +36,7 @@
                 TimePoint aAttemptDeadline) const;
   Attempt Acknowledge(HomeRequest& aRequest,
                       const GroupView& aView,
-                      v1::SessionAnswer&& aAnswer,
-                      MemberSession& aSession) const;
+                      v1::SessionAnswer&& aAnswer) const;
 
   const DataPath& mPath;
 };
