--- a/src/libs/daemon/connections/allowancesync.cpp
+++ b/src/libs/daemon/connections/allowancesync.cpp
@@ -23,29 +23,6 @@
 /** Pause while a release or a claim of another instance is awaited. */
 constexpr std::chrono::seconds kAwaitingRead{ 2 };
 
-/** @return whether floors are still to be released */
-bool
-AwaitsRelease(const AllocationRecord& aRecord)
-{
-  return std::any_of(
-    aRecord.mFloors.begin(), aRecord.mFloors.end(), [](const HomeFloor& aFloor) {
-      return aFloor.mFloor != aFloor.mTarget;
-    });
-}
-
-/** @return whether the record and the homes name the same instances */
-bool
-FitsHomes(const AllocationRecord& aRecord, const std::vector<InstanceId>& aHomes)
-{
-  return aRecord.mFloors.size() == aHomes.size() &&
-         std::all_of(aRecord.mFloors.begin(),
-                     aRecord.mFloors.end(),
-                     [&aHomes](const HomeFloor& aFloor) {
-                       return std::find(aHomes.begin(), aHomes.end(), aFloor.mHome) !=
-                              aHomes.end();
-                     });
-}
-
 } // namespace
 
 AllowanceSync::AllowanceSync(const AllowanceServices& aServices,
@@ -294,7 +271,11 @@
     if (settings) {
       share.mLedger.SetLimit(settings->mConnectionLimit, settings->mRevision);
     }
-    due = !share.mReadAgain || mNow() >= *share.mReadAgain;
+    const bool claimed = share.mRecord && share.mRecord->mKeeper == mState.mSelf;
+    const bool quiet =
+      share.mRecord && claimed == (rank == 0) && !AwaitsRelease(*share.mRecord);
+    const Duration pause = quiet ? kQuietRead : kAwaitingRead;
+    due = !share.mReadAt || mNow() - *share.mReadAt >= pause;
   }
   if (due) {
     ReadRecord(aGroup);
@@ -308,21 +289,31 @@
 {
   const Result<AllocationRecord> record = mStore.ReadRecord(aGroup);
   if (!IsOk(record)) {
-    mStoreFailed = true;
+    OnReadFailed(aGroup, ErrorOf(record));
     return;
   }
   {
     const std::lock_guard lock(mState.mMutex);
     GroupShare& share = mState.ShareOf(aGroup);
     share.OnRecord(ValueOf(record), mNow());
-    const bool claimed = ValueOf(record).mKeeper == mState.mSelf;
-    const bool keeps = mServices.mHomes.OwnRank(aGroup) == 0;
-    const bool quiet = claimed == keeps && !AwaitsRelease(ValueOf(record));
-    share.mReadAgain = mNow() + (quiet ? kQuietRead : kAwaitingRead);
+    share.mReadAt = mNow();
   }
   mChanged(aGroup);
 }
 
+void
+AllowanceSync::OnReadFailed(const GroupId& aGroup, const Error& aError)
+{
+  if (aError.mKind != ErrorKind::Internal) {
+    mStoreFailed = true;
+    return;
+  }
+  // One malformed record must not stop the groups after it.
+  Log(LogLevel::Error, "allowance", "bad_record", { { "error", aError.mMessage } });
+  const std::lock_guard lock(mState.mMutex);
+  mState.ShareOf(aGroup).mReadAt = mNow();
+}
+
 void
 AllowanceSync::Write(const GroupId& aGroup, const AllowanceWrite& aWrite)
 {
@@ -330,7 +321,7 @@
   {
     // Committed or not, and also when the answer was lost: the row says what holds.
     const std::lock_guard lock(mState.mMutex);
-    mState.ShareOf(aGroup).mReadAgain.reset();
+    mState.ShareOf(aGroup).mReadAt.reset();
   }
   if (!IsOk(outcome)) {
     mStoreFailed = true;
--- a/src/libs/daemon/connections/allowancesync.h
+++ b/src/libs/daemon/connections/allowancesync.h
@@ -46,6 +46,7 @@
   void GiveUpClaim(const AllocationRecord& aRecord);
   std::optional<AllocationRecord> RecordOf(const GroupId& aGroup);
   void ReadRecord(const GroupId& aGroup);
+  void OnReadFailed(const GroupId& aGroup, const Error& aError);
   void Write(const GroupId& aGroup, const AllowanceWrite& aWrite);
   const AuthorityWatcher& WatchKeeper(const AllocationRecord& aRecord);
   [[nodiscard]] FloorPlanInput PlanInput(const GroupId& aGroup) const;
--- a/src/libs/daemon/connections/connectionmanager.cpp
+++ b/src/libs/daemon/connections/connectionmanager.cpp
@@ -2,19 +2,16 @@
 
 #include "daemon/connections/connectionrunner.h"
 #include "daemon/connections/connectiontable.h"
-#include "daemon/connections/grouppool.h"
+#include "daemon/connections/poolregistry.h"
 #include "interfaces/groups.h"
 #include "observe/log.h"
 #include "observe/metricregistry.h"
 #include "observe/tracer.h"
 
 #include <condition_variable>
-#include <map>
 #include <mutex>
 #include <optional>
-#include <shared_mutex>
 #include <utility>
-#include <vector>
 
 namespace papayaspindle {
 
@@ -25,34 +22,6 @@
 /** Time for a PING statement on a connection in doubt. */
 constexpr std::chrono::milliseconds kProbeTimeout{ 500 };
 
-/** A blocked Acquire. */
-struct Waiter
-{
-  std::condition_variable mWake;
-  std::optional<Result<ConnectionId>> mOutcome;
-};
-
-/** One group's pool, its lock and the requests that wait for it. */
-struct PoolSlot
-{
-  std::mutex mMutex;
-  GroupPool mPool;
-  std::map<PoolTicket, Waiter> mWaiters;
-};
-
-/** Hands outcomes to the requests that wait; the pool's lock is held. */
-void
-Deliver(PoolSlot& aSlot, const PoolWork& aWork)
-{
-  for (const PoolDelivery& delivery : aWork.mDeliveries) {
-    const auto found = aSlot.mWaiters.find(delivery.mTicket);
-    if (found != aSlot.mWaiters.end()) {
-      found->second.mOutcome = delivery.mOutcome;
-      found->second.mWake.notify_one();
-    }
-  }
-}
-
 } // namespace
 
 struct ConnectionManager::Private
@@ -68,8 +37,6 @@
   {
   }
 
-  PoolSlot& SlotOf(const GroupId& aGroup);
-  std::vector<GroupId> SlotNames();
   /** Changes a pool under its lock, then does what it asks for. */
   template<typename Change>
   void Update(const GroupId& aGroup, const Change& aChange);
@@ -90,9 +57,7 @@
   MetricRegistry& mMetrics;
   Tracer& mTracer;
   ConnectionTable mTable;
-  std::shared_mutex mSlotsMutex;
-  /** Slots are never removed, so references to them stay valid. */
-  std::map<GroupId, PoolSlot> mSlots;
+  PoolRegistry mPools;
   std::mutex mDrainMutex;
   std::condition_variable mDrained;
   bool mDraining = false;
@@ -100,43 +65,17 @@
   std::uint64_t mActive = 0;
 };
 
-PoolSlot&
-ConnectionManager::Private::SlotOf(const GroupId& aGroup)
-{
-  {
-    const std::shared_lock lock(mSlotsMutex);
-    const auto found = mSlots.find(aGroup);
-    if (found != mSlots.end()) {
-      return found->second;
-    }
-  }
-  const std::unique_lock lock(mSlotsMutex);
-  return mSlots[aGroup];
-}
-
-std::vector<GroupId>
-ConnectionManager::Private::SlotNames()
-{
-  const std::shared_lock lock(mSlotsMutex);
-  std::vector<GroupId> names;
-  names.reserve(mSlots.size());
-  for (const auto& [name, slot] : mSlots) {
-    names.push_back(name);
-  }
-  return names;
-}
-
 template<typename Change>
 void
 ConnectionManager::Private::Update(const GroupId& aGroup, const Change& aChange)
 {
-  PoolSlot& slot = SlotOf(aGroup);
+  PoolSlot& slot = mPools.SlotOf(aGroup);
   PoolWork work;
   {
     const std::lock_guard lock(slot.mMutex);
     aChange(slot.mPool);
     work = slot.mPool.Advance(mHooks.mNow());
-    Deliver(slot, work);
+    slot.Deliver(work);
   }
   Execute(aGroup, work);
 }
@@ -238,7 +177,7 @@
                                  const RunOutcome& aOutcome)
 {
   if (!aOutcome.mCondemned) {
-    PoolSlot& slot = SlotOf(aGroup);
+    PoolSlot& slot = mPools.SlotOf(aGroup);
     const std::lock_guard lock(slot.mMutex);
     if (IsOk(aOutcome.mAnswer)) {
       slot.mPool.OnAnswer(aConnection, mHooks.mNow());
@@ -276,7 +215,7 @@
 Result<ConnectionId>
 ConnectionManager::Private::Wait(const AcquireRequest& aRequest)
 {
-  PoolSlot& slot = SlotOf(aRequest.mGroup);
+  PoolSlot& slot = mPools.SlotOf(aRequest.mGroup);
   PoolTicket ticket;
   {
     const std::lock_guard lock(slot.mMutex);
@@ -290,7 +229,7 @@
   for (;;) {
     Update(aRequest.mGroup, [](GroupPool&) {});
     std::unique_lock lock(slot.mMutex);
-    Waiter& waiter = slot.mWaiters.at(ticket);
+    PoolWaiter& waiter = slot.mWaiters.at(ticket);
     const TimePoint wake = Clock::now() + (aRequest.mDeadline - mHooks.mNow());
     waiter.mWake.wait_until(lock, wake, [&] { return waiter.mOutcome.has_value(); });
     if (waiter.mOutcome) {
@@ -357,7 +296,7 @@
   }
   const GroupId& group = turn->mEntry.mGroup;
   {
-    PoolSlot& slot = mPrivate->SlotOf(group);
+    PoolSlot& slot = mPrivate->mPools.SlotOf(group);
     const std::lock_guard lock(slot.mMutex);
     if (!slot.mPool.IsUsable(aConnection)) {
       return Error{ ErrorKind::MemberUnreachable, "the connection has no owner" };
@@ -395,7 +334,7 @@
 ShareUse
 ConnectionManager::TakeUse(const GroupId& aGroup)
 {
-  PoolSlot& slot = mPrivate->SlotOf(aGroup);
+  PoolSlot& slot = mPrivate->mPools.SlotOf(aGroup);
   const std::lock_guard lock(slot.mMutex);
   return { slot.mPool.TakeDemand(), slot.mPool.Held() };
 }
@@ -403,7 +342,7 @@
 std::uint32_t
 ConnectionManager::Held(const GroupId& aGroup)
 {
-  PoolSlot& slot = mPrivate->SlotOf(aGroup);
+  PoolSlot& slot = mPrivate->mPools.SlotOf(aGroup);
   const std::lock_guard lock(slot.mMutex);
   return slot.mPool.Held();
 }
@@ -411,7 +350,7 @@
 void
 ConnectionManager::Tick()
 {
-  for (const GroupId& group : mPrivate->SlotNames()) {
+  for (const GroupId& group : mPrivate->mPools.Names()) {
     mPrivate->Configure(group);
   }
 }
--- a/src/libs/daemon/connections/connectionmanager.h
+++ b/src/libs/daemon/connections/connectionmanager.h
@@ -15,9 +15,9 @@
 /**
  * This instance's connections to backend servers.
  *
- * Lock order: the table of pools, then one pool, then a leaf (connection table, metrics,
- * drain count). Two pools are never locked together, and no lock is held while a
- * connection is opened, used or closed.
+ * Lock order: one pool, then a leaf (connection table, metrics, drain count). Two pools
+ * are never locked together, and no lock is held while a connection is opened, used or
+ * closed.
  */
 class ConnectionManager
   : public Connections
--- a/src/libs/daemon/connections/groupshare.h
+++ b/src/libs/daemon/connections/groupshare.h
@@ -32,8 +32,8 @@
   AllowanceLedger mLedger;
   /** The record with the highest version known. */
   std::optional<AllocationRecord> mRecord;
-  /** When the record is read again; empty for at once. */
-  std::optional<TimePoint> mReadAgain;
+  /** When the record was last read; empty when it must be read at once. */
+  std::optional<TimePoint> mReadAt;
 };
 
 } // namespace papayaspindle
--- a/src/libs/decision/allowance/authorityholder.cpp
+++ b/src/libs/decision/allowance/authorityholder.cpp
@@ -43,6 +43,10 @@
   std::erase_if(mAttempts, [aNow](const auto& aEntry) {
     return aNow - aEntry.second.mSentAt >= kAuthorityDuration;
   });
+  const bool renewed = own && ValidEpoch(aNow) && !IsDue(aNow);
+  if (renewed) {
+    return std::nullopt;
+  }
   mNextCycle = aNow + kAuthorityRetryInterval;
   if (!MayWrite(aRow, aNow)) {
     return std::nullopt;
--- a/src/libs/decision/allowance/authorityholder.h
+++ b/src/libs/decision/allowance/authorityholder.h
@@ -29,9 +29,9 @@
    *
    * @param aRow the row; version 0 when there is none
    * @param aNow when the answer arrived
-   * @return the row to write with the version to expect in it, or nothing while another
-   * process's authority may still hold. The authority is counted from aNow, so the write
-   * must be sent after this call.
+   * @return the row to write with the version to expect in it; nothing while another
+   * process's authority may still hold, or when the row shows a recent renewal. The
+   * authority is counted from aNow, so the write must be sent after this call.
    */
   std::optional<AuthorityRow> OnRow(const AuthorityRow& aRow, TimePoint aNow);
 
--- a/src/libs/decision/allowance/floorplan.cpp
+++ b/src/libs/decision/allowance/floorplan.cpp
@@ -74,6 +74,25 @@
   return aLimit / 2;
 }
 
+bool
+AwaitsRelease(const AllocationRecord& aRecord)
+{
+  return std::any_of(
+    aRecord.mFloors.begin(), aRecord.mFloors.end(), [](const HomeFloor& aFloor) {
+      return aFloor.mFloor != aFloor.mTarget;
+    });
+}
+
+bool
+FitsHomes(const AllocationRecord& aRecord, const std::vector<InstanceId>& aHomes)
+{
+  const auto isHome = [&aHomes](const HomeFloor& aFloor) {
+    return std::find(aHomes.begin(), aHomes.end(), aFloor.mHome) != aHomes.end();
+  };
+  return aRecord.mFloors.size() == aHomes.size() &&
+         std::all_of(aRecord.mFloors.begin(), aRecord.mFloors.end(), isHome);
+}
+
 AllocationRecord
 PlanFloors(const AllocationRecord& aRecord, const FloorPlanInput& aInput)
 {
--- a/src/libs/decision/allowance/floorplan.h
+++ b/src/libs/decision/allowance/floorplan.h
@@ -34,6 +34,13 @@
  */
 std::uint32_t FloorShare(std::uint32_t aLimit);
 
+/** @return whether a floor differs from its target, so that a release or a raise is due
+ */
+bool AwaitsRelease(const AllocationRecord& aRecord);
+
+/** @return whether the record has an entry for each of the homes, and for nobody else */
+bool FitsHomes(const AllocationRecord& aRecord, const std::vector<InstanceId>& aHomes);
+
 /**
  * Computes the record that the keeper writes next.
  *
