--- a/src/app/controlbench/controlnode.cpp
+++ b/src/app/controlbench/controlnode.cpp
@@ -138,7 +138,7 @@
       submit,
       [] { return Clock::now(); },
       UnixMs,
-      [](std::chrono::milliseconds aTime) { std::this_thread::sleep_for(aTime); } },
+      [](Duration aTime) { std::this_thread::sleep_for(aTime); } },
     ConfigurationManagerSettings());
   node.mMembership->SetRevisionHooks(
     { [this] { return mPrivate->mConfiguration->Revision(); },
