Wire membership, configuration, monitor, connections and statements into serve

When the drain deadline passes, the process ends without destroying what the work in flight still uses.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,5 @@
 #include "commandline/commandline.h"
+#include "controlbench/controlbench.h"
 #include "ctl/ctl.h"
 #include "experiment/experiment.h"
 #include "placementbench/placementbench.h"
@@ -29,6 +30,7 @@
   Verb{ "serve", "runs an entry instance", &RunServe },
   Verb{ "ctl", "calls an entry instance as operator or caller", &RunCtl },
   Verb{ "experiment", "loads entry instances and checks every answer", &RunExperiment },
+  Verb{ "control", "measures what the control plane costs a node", &RunControlBench },
   Verb{ "placement", "compares ways to place groups on homes", &RunPlacementBench },
   Verb{ "version", "prints the version", &RunVersion },
 };
--- /dev/null
+++ b/src/app/serve/groupreport.cpp
@@ -0,0 +1,39 @@
+#include "serve/groupreport.h"
+
+#include "daemon/statements/freshnessboard.h"
+
+#include <chrono>
+#include <utility>
+
+namespace papayaspindle {
+
+GroupReportHook
+ReportMembers(const Groups& aGroups, const FreshnessBoard& aFreshness, NowHook aNow)
+{
+  return [&aGroups, &aFreshness, now = std::move(aNow)](const GroupId& aGroup,
+                                                        v1::ShowGroupReply& aReply) {
+    const auto settings = aGroups.Settings(aGroup);
+    if (!settings) {
+      return;
+    }
+    const GroupView view = aGroups.View(aGroup);
+    for (const MemberSettings& member : settings->mMembers) {
+      v1::MemberState* state = aReply.add_members();
+      state->set_member(member.mMember.Text());
+      state->set_availability_zone(member.mAvailabilityZone.Text());
+      state->set_role(member.mMember == view.mPrimary ? "primary" : "replica");
+      state->set_leaving(member.mLeaving);
+      if (const auto progress = aFreshness.ProgressOf(aGroup, member.mMember)) {
+        state->set_term(progress->mTerm);
+        *state->mutable_applied() = ToMessage(progress->mApplied);
+      }
+      const auto age = aFreshness.ProvenAge(*settings, member.mMember, view.mTerm, now());
+      if (age) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(*age);
+        state->set_proven_age_ms(static_cast<std::uint64_t>(ms.count()));
+      }
+    }
+  };
+}
+
+} // namespace papayaspindle
--- a/src/app/serve/grpclistener.cpp
+++ b/src/app/serve/grpclistener.cpp
@@ -1,40 +1,11 @@
 #include "serve/grpclistener.h"
 
-#include <grpcpp/grpcpp.h>
+#include "transport/grpccredentials.h"
 
-#include <fstream>
-#include <iterator>
+#include <grpcpp/grpcpp.h>
 
 namespace papayaspindle {
 
-namespace {
-
-std::string
-FileText(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  return { std::istreambuf_iterator<char>(file), {} };
-}
-
-std::shared_ptr<grpc::ServerCredentials>
-Credentials(const ListenerSettings& aSettings)
-{
-  if (aSettings.mCertificateFile.empty()) {
-    return grpc::InsecureServerCredentials();
-  }
-  grpc::SslServerCredentialsOptions options;
-  options.pem_key_cert_pairs.push_back(
-    { FileText(aSettings.mKeyFile), FileText(aSettings.mCertificateFile) });
-  if (!aSettings.mAuthorityFile.empty()) {
-    options.pem_root_certs = FileText(aSettings.mAuthorityFile);
-    options.client_certificate_request =
-      GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY;
-  }
-  return grpc::SslServerCredentials(options);
-}
-
-} // namespace
-
 struct GrpcListener::Private
 {
   std::unique_ptr<grpc::Server> mServer;
@@ -54,12 +25,18 @@
 GrpcListener::Start(const ListenerSettings& aSettings,
                     const std::vector<grpc::Service*>& aServices)
 {
+  const TlsSettings& tls = aSettings.mTls;
+  const auto credentials = MakeServerCredentials(
+    tls, tls.mCaFile.empty() ? ClientCertificate::Optional : ClientCertificate::Required);
+  if (!IsOk(credentials)) {
+    return ErrorOf(credentials);
+  }
   grpc::ServerBuilder builder;
   // With SO_REUSEPORT, two processes on one address would share its callers at random.
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.SetMaxReceiveMessageSize(static_cast<int>(aSettings.mMaxRequestBytes));
   int port = 0;
-  builder.AddListeningPort(aSettings.mAddress, Credentials(aSettings), &port);
+  builder.AddListeningPort(aSettings.mAddress, ValueOf(credentials), &port);
   for (grpc::Service* service : aServices) {
     builder.RegisterService(service);
   }
--- a/src/app/serve/grpclistener.h
+++ b/src/app/serve/grpclistener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "transport/tlssettings.h"
 
 #include <chrono>
 #include <cstddef>
@@ -19,11 +20,8 @@
 {
   /** "ip:port". */
   std::string mAddress;
-  /** PEM files; no TLS when empty. */
-  std::string mCertificateFile;
-  std::string mKeyFile;
-  /** Clients must show a certificate of this authority, unless empty. */
-  std::string mAuthorityFile;
+  /** No TLS when empty. With a CA file, clients must show a certificate. */
+  TlsSettings mTls;
   /** Limit of one request. */
   std::size_t mMaxRequestBytes = 0;
 };
--- a/src/app/serve/serveapplication.cpp
+++ b/src/app/serve/serveapplication.cpp
@@ -5,6 +5,7 @@
 #include "serve/server.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <utility>
 
 namespace papayaspindle {
@@ -58,7 +59,11 @@
   Log(complete ? LogLevel::Info : LogLevel::Error,
       kSubsystem,
       complete ? "stopped" : "drain_deadline_passed");
-  return complete ? kExitDone : kExitRefused;
+  if (!complete) {
+    // Work in flight still uses the managers, so they must not be destroyed.
+    std::_Exit(kExitRefused);
+  }
+  return kExitDone;
 }
 
 } // namespace papayaspindle
--- a/src/app/serve/server.cpp
+++ b/src/app/serve/server.cpp
@@ -1,27 +1,53 @@
 #include "serve/server.h"
 
-#include "observe/metricregistry.h"
-#include "observe/tracer.h"
-#include "runtime/grouptable.h"
-#include "serve/gatedpeerhandlers.h"
-#include "serve/grpclistener.h"
-#include "serve/tracefile.h"
-#include "services/callerservice.h"
-#include "services/operatorservice.h"
+#include "decision/drain/drainstate.h"
+#include "observe/log.h"
+#include "serve/serverparts.h"
+
+#include <thread>
 
 namespace papayaspindle {
 
+namespace {
+
+constexpr std::string_view kSubsystem = "serve";
+constexpr std::chrono::milliseconds kDrainTick{ 20 };
+// Answers that are ready still have to reach their callers.
+constexpr std::chrono::milliseconds kAnswerGrace{ 2000 };
+
+std::string_view
+PhaseName(DrainPhase aPhase)
+{
+  switch (aPhase) {
+    case DrainPhase::Serving:
+      return "serving";
+    case DrainPhase::Announcing:
+      return "announcing";
+    case DrainPhase::Draining:
+      return "draining";
+    case DrainPhase::Stopped:
+      return "stopped";
+  }
+  return "unknown";
+}
+
+} // namespace
+
 struct Server::Private
 {
   explicit Private(const Settings& aSettings)
-    : mSettings(aSettings)
+    : mCommon(aSettings)
   {
   }
+  ~Private() { Stop(); }
+
+  [[nodiscard]] WorkInFlight InFlight() const;
+  void Stop();
 
-  Settings mSettings;
-  MetricRegistry mMetrics;
-  GroupTable mGroups;
-  RequestGate mGate;
+  CommonParts mCommon;
+  std::unique_ptr<TransportParts> mTransport;
+  std::unique_ptr<ManagerParts> mManagers;
+  std::unique_ptr<ServiceParts> mServices;
 };
 
 Server::Server(const Settings& aSettings)
@@ -34,13 +60,77 @@
 Status
 Server::Start()
 {
-  return Error{ ErrorKind::Internal, "no managers are built in" };
+  auto transport = TransportParts::Make(mPrivate->mCommon);
+  if (!IsOk(transport)) {
+    return ErrorOf(transport);
+  }
+  mPrivate->mTransport = std::move(ValueOf(transport));
+  mPrivate->mManagers =
+    std::make_unique<ManagerParts>(mPrivate->mCommon, *mPrivate->mTransport);
+  mPrivate->mServices =
+    std::make_unique<ServiceParts>(mPrivate->mCommon, *mPrivate->mManagers);
+  const Status peers = mPrivate->mTransport->mPeerServer.Start();
+  if (!IsOk(peers)) {
+    return peers;
+  }
+  mPrivate->mManagers->Start();
+  return mPrivate->mServices->Start(mPrivate->mCommon.mSettings);
 }
 
 bool
 Server::Drain()
 {
+  const Settings& settings = mPrivate->mCommon.mSettings;
+  DrainState state({ settings.mDrainAnnounce, settings.mDrainDeadline });
+  state.Begin(Clock::now());
+  mPrivate->mManagers->mMembership.AnnounceLeaving();
+  DrainPhase phase = DrainPhase::Serving;
+  WorkInFlight work;
+  while (phase != DrainPhase::Stopped) {
+    work = mPrivate->InFlight();
+    const DrainPhase next = state.Tick(Clock::now(), work);
+    if (next != phase) {
+      phase = next;
+      Log(LogLevel::Info,
+          kSubsystem,
+          "drain",
+          { { "phase", std::string(PhaseName(phase)) },
+            { "requests", std::to_string(work.mRequests) },
+            { "transactions", std::to_string(work.mOpenTransactions) } });
+    }
+    if (phase == DrainPhase::Draining && !mPrivate->mCommon.mGate.Draining()) {
+      mPrivate->mCommon.mGate.StartDrain();
+    }
+    std::this_thread::sleep_for(kDrainTick);
+  }
+  if (work.mRequests > 0 || work.mOpenTransactions > 0) {
+    return false;
+  }
+  mPrivate->Stop();
   return true;
 }
 
+WorkInFlight
+Server::Private::InFlight() const
+{
+  return { mCommon.mGate.InFlight(), mManagers->mStatements.OpenTransactions() };
+}
+
+void
+Server::Private::Stop()
+{
+  if (mServices) {
+    mServices->Stop(kAnswerGrace);
+  }
+  if (mTransport) {
+    mTransport->mPeerServer.Stop(kAnswerGrace);
+  }
+  if (mManagers) {
+    mManagers->Stop();
+  }
+  mServices.reset();
+  mManagers.reset();
+  mTransport.reset();
+}
+
 } // namespace papayaspindle
--- a/src/app/serve/server.h
+++ b/src/app/serve/server.h
@@ -20,7 +20,8 @@
   /**
    * Announces the leave, refuses new work, finishes what is in flight, then stops.
    *
-   * @return false when the drain deadline passed with work in flight
+   * @return false when the drain deadline passed with work in flight, which then still
+   * runs: the process must end without destroying this object
    */
   bool Drain();
 
--- a/src/app/settings/settingrows.cpp
+++ b/src/app/settings/settingrows.cpp
@@ -172,8 +172,8 @@
   Number("configuration", "snapshot_every", &S::mSnapshotEvery, "1000", 10, 1'000'000,
     "Changes between two snapshots in the object store."),
 
-  Time("allowance", "interval_ms", &S::mAllowanceInterval, "500", 10, kMinute,
-    "Pause between two looks at demand and leases."),
+  Time("allowance", "interval_ms", &S::mAllowanceInterval, "1000", 100, 1500,
+    "Pause between two renewals of leases, which last 3 s, and of the keeper's records."),
 
   Choice("log", "level", &S::mLogLevel, "info", "debug|info|warning|error",
     "Lowest level that is written to standard error."),
