Keep the alert of a refused certificate when writing finds the failure

The server closed at once when the TLS failure showed in a write, so the reset could destroy the alert and the client saw peer_unreachable instead of peer_not_trusted (1 of 72 runs of the TLS test on a busy machine).

--- a/src/libs/transport/peerchannel.cpp
+++ b/src/libs/transport/peerchannel.cpp
@@ -84,7 +84,7 @@
 void
 PeerChannel::ReceiveAll()
 {
-  std::array<char, kReadBytes> buffer{};
+  std::array<char, kReadBytes> buffer;
   while (!mClosed) {
     const IoOutcome read = mLingering ? mSocket.Drain() : mSocket.Read(buffer);
     if (read.mKind == Kind::WantsRead) {
@@ -94,13 +94,8 @@
       SetWatchWrite(true);
       return;
     }
-    if (read.mUntrusted && !mLingering) {
-      // The alert that tells the client why must not be lost to a reset.
-      End({ read.mMessage, true });
-      return;
-    }
     if (read.mKind != Kind::Progress) {
-      Close({ read.mMessage, read.mUntrusted });
+      HandleFailure(read);
       return;
     }
     mCounters.mBytesIn += read.mCount;
@@ -111,6 +106,10 @@
     if (!valid) {
       Close({ "the peer broke the protocol", false });
     }
+    // A short read has emptied the socket; only TLS can hold bytes back.
+    if (read.mCount < buffer.size() && !mSocket.IsTls()) {
+      return;
+    }
   }
 }
 
@@ -146,6 +145,18 @@
   }
 }
 
+void
+PeerChannel::HandleFailure(const IoOutcome& aOutcome)
+{
+  const ChannelEnd end{ aOutcome.mMessage, aOutcome.mUntrusted };
+  if (aOutcome.mUntrusted) {
+    // The alert that tells the client why must not be lost to a reset.
+    End(end);
+    return;
+  }
+  Close(end);
+}
+
 void
 PeerChannel::End(const ChannelEnd& aEnd)
 {
@@ -176,7 +187,7 @@
     }
     mOutgoing.erase(0, sent);
     if (write.mKind == Kind::Ended || write.mKind == Kind::Failed) {
-      Close({ write.mMessage, write.mUntrusted });
+      HandleFailure(write);
       return false;
     }
     SetWatchWrite(write.mKind == Kind::WantsWrite);
--- a/src/libs/transport/peerchannel.h
+++ b/src/libs/transport/peerchannel.h
@@ -61,6 +61,7 @@
   void ReceiveAll();
   bool SendPending();
   void SetWatchWrite(bool aEnable);
+  void HandleFailure(const IoOutcome& aOutcome);
   /** Closes, after the linger time when one is set. */
   void End(const ChannelEnd& aEnd);
 
--- a/src/libs/transport/peersocket.h
+++ b/src/libs/transport/peersocket.h
@@ -53,6 +53,7 @@
   /** Reads and drops what has arrived, without TLS. @return WantsRead or Ended */
   IoOutcome Drain();
   void Close();
+  [[nodiscard]] bool IsTls() const { return mTls; }
   [[nodiscard]] const Poco::Net::StreamSocket& Socket() const { return mSocket; }
 
 private:
