Replace a primary that is leaving

Change: the reconciler starts a failover for reason PrimaryLeaving while the staying members that follow are a majority, and Fence passes leaving members over when the others are a majority. A member is leaving when the settings or its own status say so. Before and after: a leaving primary stayed; now the fault table sees a write acknowledged by the new one within 3 s, and no further failover when only one member stays. Conclusion: acknowledged writes are on the staying majority, so none is lost by the change.

--- a/src/libs/daemon/failover/statusmessage.cpp
+++ b/src/libs/daemon/failover/statusmessage.cpp
@@ -33,6 +33,7 @@
            FromMessage(aMessage.last()),
            role == MemberRole::Replica ? MemberId(aMessage.primary()) : MemberId(),
            std::chrono::milliseconds(aMessage.primary_silence_ms()),
+           aMessage.leaving(),
            aAskedAt };
 }
 
--- a/src/libs/decision/failover/failoverrun.cpp
+++ b/src/libs/decision/failover/failoverrun.cpp
@@ -68,6 +68,11 @@
   }
   if (aStatus.mRole == MemberRole::Primary && aStatus.mTerm >= mHighestTerm) {
     const bool isOld = aStatus.mMember == mSetup.mOldPrimary;
+    if (isOld && mSetup.mReason == FailoverReason::PrimaryLeaving) {
+      mConfirmation.OnStatus(aStatus);
+      CheckConfirmed(aNow, actions);
+      return actions;
+    }
     EndRun(isOld ? FailoverEnd::PrimaryAnswered : FailoverEnd::Conflict, aNow, actions);
     return actions;
   }
--- a/src/libs/decision/failover/failoversetup.h
+++ b/src/libs/decision/failover/failoversetup.h
@@ -18,6 +18,8 @@
   PrimaryRefused,
   /** The members' highest term has no primary, for example after a keeper died. */
   Leaderless,
+  /** The primary answers but is to get no new work. */
+  PrimaryLeaving,
   /** A new group, whose members all report term 0. */
   FirstStart,
 };
--- a/src/libs/decision/failover/fence.cpp
+++ b/src/libs/decision/failover/fence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace papayaspindle {
 
@@ -42,13 +43,13 @@
 bool
 Fence::HasMajority() const
 {
-  return mGrants.size() >= mSetup.mMembers.size() / 2 + 1;
+  return IsMajority(mGrants.size());
 }
 
 bool
 Fence::IsLost() const
 {
-  return mSetup.mMembers.size() - mRefusals.size() < mSetup.mMembers.size() / 2 + 1;
+  return !IsMajority(mSetup.mMembers.size() - mRefusals.size());
 }
 
 bool
@@ -73,24 +74,28 @@
   if (!HasMajority()) {
     return std::nullopt;
   }
-  const FailoverMember* best = nullptr;
+  std::vector<const FailoverMember*> candidates;
+  std::vector<const FailoverMember*> staying;
   for (const FailoverMember& member : mSetup.mMembers) {
-    const auto grant = mGrants.find(member.mMember);
-    if (grant == mGrants.end()) {
-      continue;
+    if (IsGrantedBy(member.mMember)) {
+      candidates.push_back(&member);
     }
-    if (best == nullptr) {
-      best = &member;
-      continue;
-    }
-    const auto rankOf = [this](const FailoverMember& aMember) {
-      return std::pair(mGrants.at(aMember.mMember), Preference(aMember));
-    };
-    if (rankOf(member) > rankOf(*best)) {
-      best = &member;
+    if (IsGrantedBy(member.mMember) && !member.mLeaving) {
+      staying.push_back(&member);
     }
   }
-  return best->mMember;
+  if (IsMajority(staying.size())) {
+    candidates = staying;
+  }
+  const auto rankOf = [this](const FailoverMember& aMember) {
+    return std::pair(mGrants.at(aMember.mMember), Preference(aMember));
+  };
+  // The first of equals, in the order of the group's settings.
+  const auto best = std::max_element(
+    candidates.begin(), candidates.end(), [&](const auto* aLeft, const auto* aRight) {
+      return rankOf(*aLeft) < rankOf(*aRight);
+    });
+  return (*best)->mMember;
 }
 
 bool
@@ -101,6 +106,12 @@
                      [&](const auto& aOther) { return aOther.mMember == aMember; });
 }
 
+bool
+Fence::IsMajority(std::size_t aCount) const
+{
+  return aCount >= mSetup.mMembers.size() / 2 + 1;
+}
+
 int
 Fence::Preference(const FailoverMember& aMember) const
 {
--- a/src/libs/decision/failover/fence.h
+++ b/src/libs/decision/failover/fence.h
@@ -4,6 +4,7 @@
 #include "core/logposition.h"
 #include "decision/failover/failoversetup.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,6 +40,9 @@
   [[nodiscard]] bool IsGrantedBy(const MemberId& aMember) const;
 
   /**
+   * Leaving members are passed over when the others alone are a majority: every
+   * acknowledged write is on one of those too.
+   *
    * @return the member with the most advanced log among the grants, or nothing without a
    * majority. Among equals, one that is neither leaving nor suspect.
    */
@@ -46,6 +50,7 @@
 
 private:
   [[nodiscard]] bool IsMember(const MemberId& aMember) const;
+  [[nodiscard]] bool IsMajority(std::size_t aCount) const;
   [[nodiscard]] int Preference(const FailoverMember& aMember) const;
 
   FailoverSetup mSetup;
--- a/src/libs/decision/failover/groupkeeper.cpp
+++ b/src/libs/decision/failover/groupkeeper.cpp
@@ -41,6 +41,9 @@
 GroupKeeper::OnTick(const KeeperInput& aInput, TimePoint aNow)
 {
   mInput = aInput;
+  for (FailoverMember& member : mInput.mMembers) {
+    member.mLeaving = member.mLeaving || mLeaving.contains(member.mMember);
+  }
   mSuspicion.OnTick(aNow);
   KeeperActions actions;
   if (!mInput.mMayAct || mInput.mRank < 0) {
@@ -151,6 +154,11 @@
 {
   mSuspicion.OnAnswer(aStatus.mMember, aNow);
   mReconciler.OnStatus(aStatus);
+  if (aStatus.mLeaving) {
+    mLeaving.insert(aStatus.mMember);
+  } else {
+    mLeaving.erase(aStatus.mMember);
+  }
 }
 
 KeeperActions
--- a/src/libs/decision/failover/groupkeeper.h
+++ b/src/libs/decision/failover/groupkeeper.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -115,6 +116,8 @@
   SuspicionTracker mSuspicion;
   GroupReconciler mReconciler;
   ViewRecorder mRecorder;
+  /** Members that say so of themselves; the settings may say it of others. */
+  std::set<MemberId> mLeaving;
   std::optional<FailoverRun> mRun;
   TimePoint mNotBefore;
   FailoverSummary mLast;
--- a/src/libs/decision/failover/groupreconciler.cpp
+++ b/src/libs/decision/failover/groupreconciler.cpp
@@ -44,6 +44,17 @@
   });
 }
 
+bool
+Follows(const MemberId& aMember,
+        const GroupView& aView,
+        const std::vector<const MemberStatus*>& aFresh)
+{
+  return std::any_of(aFresh.begin(), aFresh.end(), [&](const MemberStatus* aStatus) {
+    return aStatus->mMember == aMember && aStatus->mTerm == aView.mTerm &&
+           aStatus->mRole == MemberRole::Replica && aStatus->mPrimary == aView.mPrimary;
+  });
+}
+
 } // namespace
 
 GroupReconciler::GroupReconciler(const ReconcileSettings& aSettings)
@@ -131,6 +142,35 @@
     const GroupView learned{ view.mGroup, term, primary };
     aActions.emplace_back(AnnounceView{ learned });
     aActions.emplace_back(RecordView{ learned });
+    return;
+  }
+  CheckLeaving(aInput, aFresh, aNow, aActions);
+}
+
+void
+GroupReconciler::CheckLeaving(const ReconcileInput& aInput,
+                              const Fresh& aFresh,
+                              TimePoint aNow,
+                              ReconcileActions& aActions)
+{
+  const GroupView& view = aInput.mView;
+  const auto& members = aInput.mMembers;
+  const bool leaving =
+    std::any_of(members.begin(), members.end(), [&](const FailoverMember& aMember) {
+      return aMember.mLeaving && aMember.mMember == view.mPrimary;
+    });
+  const auto followers =
+    std::count_if(members.begin(), members.end(), [&](const FailoverMember& aMember) {
+      return !aMember.mLeaving && Follows(aMember.mMember, view, aFresh);
+    });
+  if (!leaving || static_cast<std::size_t>(followers) < members.size() / 2 + 1) {
+    mLeavingSince.reset();
+    return;
+  }
+  const bool again = !mReplacedAt || aNow - *mReplacedAt >= mSettings.mReplaceAgain;
+  if (again && IsDue(mLeavingSince, aInput.mRank * mSettings.mPerRank, aNow)) {
+    mReplacedAt = aNow;
+    aActions.emplace_back(StartFailover{ FailoverReason::PrimaryLeaving, view.mTerm });
   }
 }
 
--- a/src/libs/decision/failover/groupreconciler.h
+++ b/src/libs/decision/failover/groupreconciler.h
@@ -33,6 +33,8 @@
   std::chrono::milliseconds mFresh{ 1500 };
   /** Time for a running failover to promote in the term that it raised. */
   std::chrono::milliseconds mLeaderless{ 1000 };
+  /** Pause between two attempts to replace a leaving primary. */
+  std::chrono::milliseconds mReplaceAgain{ 5000 };
   /** Pause between two Follow requests to a member. */
   std::chrono::milliseconds mFollowAgain{ 250 };
   std::chrono::milliseconds mPerRank{ 500 };
@@ -55,6 +57,7 @@
  *   primary: a higher term would have been granted by one of them.
  * - A highest term without a primary is left by a failover that did not finish; another
  *   one starts.
+ * - A primary that is leaving is replaced while the others alone are a majority.
  * - The members of a new group, which all report term 0, get their first primary.
  */
 class GroupReconciler
@@ -75,6 +78,10 @@
                     const Fresh& aFresh,
                     TimePoint aNow,
                     ReconcileActions& aActions);
+  void CheckLeaving(const ReconcileInput& aInput,
+                    const Fresh& aFresh,
+                    TimePoint aNow,
+                    ReconcileActions& aActions);
   void CheckFollower(const ReconcileInput& aInput,
                      const MemberStatus& aStatus,
                      TimePoint aNow,
@@ -90,6 +97,8 @@
   std::map<MemberId, MemberStatus> mStatuses;
   std::map<MemberId, FollowState> mFollows;
   std::optional<TimePoint> mNoPrimarySince;
+  std::optional<TimePoint> mLeavingSince;
+  std::optional<TimePoint> mReplacedAt;
 };
 
 } // namespace papayaspindle
--- a/src/libs/decision/failover/memberstatus.h
+++ b/src/libs/decision/failover/memberstatus.h
@@ -30,6 +30,8 @@
   MemberId mPrimary;
   /** Replica: time since it last heard from the primary. */
   std::chrono::milliseconds mPrimarySilence{};
+  /** It is to get no new work. */
+  bool mLeaving = false;
   /** When the status was asked for: the member may have said it at any moment after. */
   TimePoint mAskedAt;
 };
--- a/tests/auto/failover/failoverworld.cpp
+++ b/tests/auto/failover/failoverworld.cpp
@@ -174,6 +174,7 @@
            member.mLog.empty() ? LogPosition{} : member.mLog.back().mPosition,
            follows ? MemberName(member.mPrimary) : MemberId(),
            std::chrono::duration_cast<std::chrono::milliseconds>(mNow - member.mHeard),
+           member.mLeaving,
            {} };
 }
 
--- a/tests/auto/failover/failoverworld.h
+++ b/tests/auto/failover/failoverworld.h
@@ -46,6 +46,7 @@
     papayaspindle::TimePoint mHeard;
     /** Takes no new entries. */
     bool mLagging = false;
+    bool mLeaving = false;
   };
 
   struct Write
--- a/tests/auto/failover/tst_failoverfaults.cpp
+++ b/tests/auto/failover/tst_failoverfaults.cpp
@@ -208,6 +208,22 @@
   }
 }
 
+// Guards against new work for a primary that leaves; the target for that is 3 s.
+TEST_CASE("a leaving primary is replaced once", "[failover]")
+{
+  FailoverWorld world(3, 11);
+  world.RunFor(3s);
+  world.mMembers[0].mLeaving = true;
+  const TimePoint marked = world.mNow;
+  CHECK(GapAfter(world, marked, 2) <= 3s);
+  CHECK(world.mHomes[0].mView.mPrimary != MemberName(0));
+  // The only member that stays is no majority, so nothing better can be chosen.
+  world.mMembers[1].mLeaving = true;
+  world.RunFor(10s);
+  CHECK(world.HighestTerm() == 2);
+  CHECK(world.mViolation.empty());
+}
+
 // Guards against losing acknowledged writes that only the more advanced replica holds.
 TEST_CASE("a replica far behind is not chosen", "[failover]")
 {
