Keep membership cheap in large tables

Cause: a joining instance queued every entry of the table that it fetched as an update, which filled its probes for hours at full size; ranking copied and hashed each instance several times a second. Change: entries from anti-entropy are not sent on; ranking works on pointers with one hash for each instance, and whether this instance is a delegate is kept until the table changes.

--- a/src/libs/decision/membership/delegatechooser.cpp
+++ b/src/libs/decision/membership/delegatechooser.cpp
@@ -21,35 +21,35 @@
 
 } // namespace
 
-std::map<AvailabilityZone, std::vector<InstanceInfo>>
-RankByZone(std::span<const InstanceInfo> aLive)
+std::map<AvailabilityZone, RankedZone>
+RankByZone(std::span<const InstanceInfo* const> aLive)
 {
   std::vector<std::pair<std::uint64_t, const InstanceInfo*>> order;
-  for (const InstanceInfo& instance : aLive) {
-    order.emplace_back(RankOf(instance), &instance);
+  for (const InstanceInfo* instance : aLive) {
+    order.emplace_back(RankOf(*instance), instance);
   }
   std::sort(order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
     return std::tie(aLeft.first, aLeft.second->mInstance) <
            std::tie(aRight.first, aRight.second->mInstance);
   });
-  std::map<AvailabilityZone, std::vector<InstanceInfo>> zones;
+  std::map<AvailabilityZone, RankedZone> zones;
   for (const auto& [rank, instance] : order) {
-    zones[instance->mAvailabilityZone].push_back(*instance);
+    zones[instance->mAvailabilityZone].push_back(instance);
   }
   return zones;
 }
 
 bool
-IsDelegate(const InstanceInfo& aInstance, std::span<const InstanceInfo> aLive)
+IsDelegate(const InstanceInfo& aInstance, std::span<const InstanceInfo* const> aLive)
 {
   const std::uint64_t own = RankOf(aInstance);
   const auto before =
-    std::count_if(aLive.begin(), aLive.end(), [&](const InstanceInfo& aOther) {
-      if (aOther.mAvailabilityZone != aInstance.mAvailabilityZone) {
+    std::count_if(aLive.begin(), aLive.end(), [&](const InstanceInfo* aOther) {
+      if (aOther->mAvailabilityZone != aInstance.mAvailabilityZone) {
         return false;
       }
-      const std::uint64_t other = RankOf(aOther);
-      return std::tie(other, aOther.mInstance) < std::tie(own, aInstance.mInstance);
+      const std::uint64_t other = RankOf(*aOther);
+      return std::tie(other, aOther->mInstance) < std::tie(own, aInstance.mInstance);
     });
   return static_cast<std::size_t>(before) < kDelegatesPerZone;
 }
--- a/src/libs/decision/membership/instancetable.cpp
+++ b/src/libs/decision/membership/instancetable.cpp
@@ -87,21 +87,31 @@
   return entry != nullptr && IsLive(*entry);
 }
 
-std::vector<InstanceInfo>
-InstanceTable::Live() const
+std::vector<const InstanceInfo*>
+InstanceTable::LivePointers() const
 {
-  std::vector<InstanceInfo> live;
+  std::vector<const InstanceInfo*> live;
   if (mSelf.mLiveness == Liveness::Alive) {
-    live.push_back(mSelf);
+    live.push_back(&mSelf);
   }
   for (const auto& [id, entry] : mEntries) {
     if (IsLive(entry)) {
-      live.push_back(entry.mInfo);
+      live.push_back(&entry.mInfo);
     }
   }
   return live;
 }
 
+std::vector<InstanceInfo>
+InstanceTable::Live() const
+{
+  std::vector<InstanceInfo> live;
+  for (const InstanceInfo* instance : LivePointers()) {
+    live.push_back(*instance);
+  }
+  return live;
+}
+
 std::vector<InstanceInfo>
 InstanceTable::All() const
 {
--- a/src/libs/decision/membership/instancetable.h
+++ b/src/libs/decision/membership/instancetable.h
@@ -61,6 +61,8 @@
   [[nodiscard]] bool IsLivePeer(const InstanceId& aInstance) const;
   /** @return alive and suspect instances, this one included unless it leaves */
   [[nodiscard]] std::vector<InstanceInfo> Live() const;
+  /** @return Live() without copies; the pointers hold until the next change */
+  [[nodiscard]] std::vector<const InstanceInfo*> LivePointers() const;
   /** @return every instance; a candidate counts as dead until it answers */
   [[nodiscard]] std::vector<InstanceInfo> All() const;
 
--- a/src/libs/decision/membership/membership.cpp
+++ b/src/libs/decision/membership/membership.cpp
@@ -24,7 +24,7 @@
   if (mDelegateVersion != mTable.Version()) {
     mDelegateVersion = mTable.Version();
     mDelegate = mTable.Self().mLiveness == Liveness::Alive &&
-                IsDelegate(mTable.Self(), mTable.Live());
+                IsDelegate(mTable.Self(), mTable.LivePointers());
   }
   return mDelegate;
 }
@@ -66,7 +66,7 @@
 void
 Membership::SendDue(TimePoint aNow, MembershipActions& aActions)
 {
-  for (const ScheduledProbe& due : mScheduler.Due(mTable, aNow)) {
+  for (const ScheduledProbe& due : mScheduler.Due(mTable, IsZoneDelegate(), aNow)) {
     SendProbe probe = MakeProbe(mTable.Find(due.mTarget)->mInfo, due.mKind, aNow);
     if (due.mAntiEntropy) {
       probe.mMessage.mDigest = mTable.Digest();
@@ -306,8 +306,10 @@
     }
   }
   for (const InstanceInfo& entry : aMessage.mEntries) {
+    // Entries are old news: each table gets them by its own anti-entropy. Sending them on
+    // would fill the probes of a joining instance for hours at full size.
     if (const auto changed = mTable.ApplyEntry(entry, zone, aNow)) {
-      NoteChange(*changed, false, aNow, aActions);
+      aActions.emplace_back(InstanceChanged{ *changed });
     }
   }
 }
@@ -337,11 +339,11 @@
     return;
   }
   const AvailabilityZone& ownZone = mTable.Self().mAvailabilityZone;
-  for (const auto& [zone, ranked] : RankByZone(mTable.Live())) {
+  for (const auto& [zone, ranked] : RankByZone(mTable.LivePointers())) {
     const bool wholeZone = delegate && zone == ownZone;
     const std::size_t delegates = aOriginated ? kDelegatesPerZone : 0;
     for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
-      const InstanceId& receiver = ranked[rank].mInstance;
+      const InstanceId& receiver = ranked[rank]->mInstance;
       const bool other =
         receiver != mTable.Self().mInstance && receiver != aChanged.mInstance;
       if (other && (wholeZone || rank < delegates)) {
--- a/src/libs/decision/membership/probescheduler.cpp
+++ b/src/libs/decision/membership/probescheduler.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 
 namespace papayaspindle {
@@ -53,23 +52,19 @@
 }
 
 std::vector<ScheduledProbe>
-ProbeScheduler::Due(const InstanceTable& aTable, TimePoint aNow)
+ProbeScheduler::Due(const InstanceTable& aTable, bool aDelegate, TimePoint aNow)
 {
   if (mNextProbe && aNow < *mNextProbe) {
     return {};
   }
   const bool behind = !mNextProbe || aNow - *mNextProbe > mSettings.mProbeInterval;
   mNextProbe = (behind ? aNow : *mNextProbe) + mSettings.mProbeInterval;
-  const std::vector<InstanceInfo> live = aTable.Live();
-  const bool delegate =
-    aTable.Self().mLiveness == Liveness::Alive && IsDelegate(aTable.Self(), live);
   Probes probes;
   AddRound(aTable, probes);
-  AddVerify(aTable, delegate, aNow, probes);
+  AddVerify(aTable, aDelegate, aNow, probes);
   AddRejoin(aTable, aNow, probes);
-  if (delegate) {
-    AddCrossZone(aTable, live, probes);
-    AddLostZones(aTable, live, probes);
+  if (aDelegate) {
+    AddCrossZone(aTable, probes);
   }
   AddAntiEntropy(aTable, aNow, probes);
   return probes;
@@ -94,10 +89,10 @@
 {
   const AvailabilityZone& zone = aTable.Self().mAvailabilityZone;
   bool alone = true;
-  std::vector<InstanceId> round;
+  std::vector<const InstanceId*> round;
   for (const auto& [id, entry] : aTable.Entries()) {
     if (entry.mInfo.mAvailabilityZone == zone && !IsDead(entry)) {
-      round.push_back(id);
+      round.push_back(&id);
       alone = alone && !entry.mHeard;
     }
   }
@@ -106,8 +101,10 @@
     std::optional<InstanceId> next = NextOfRound(aTable);
     if (!next) {
       // The shuffled round bounds the time until each instance is probed again.
-      mRound = round;
-      Shuffle(mRound);
+      Shuffle(round);
+      for (const InstanceId* id : round) {
+        mRound.push_back(*id);
+      }
       next = NextOfRound(aTable);
     }
     const bool repeated =
@@ -161,18 +158,18 @@
 }
 
 void
-ProbeScheduler::AddCrossZone(const InstanceTable& aTable,
-                             std::span<const InstanceInfo> aLive,
-                             Probes& aProbes)
+ProbeScheduler::AddCrossZone(const InstanceTable& aTable, Probes& aProbes)
 {
-  for (const auto& [zone, ranked] : RankByZone(aLive)) {
-    if (zone == aTable.Self().mAvailabilityZone) {
+  std::set<AvailabilityZone> liveZones{ aTable.Self().mAvailabilityZone };
+  const std::vector<const InstanceInfo*> live = aTable.LivePointers();
+  for (const auto& [zone, ranked] : RankByZone(live)) {
+    if (!liveZones.insert(zone).second) {
       continue;
     }
-    std::vector<InstanceId> alive;
-    for (const InstanceInfo& instance : ranked) {
-      if (instance.mLiveness == Liveness::Alive) {
-        alive.push_back(instance.mInstance);
+    RankedZone alive;
+    for (const InstanceInfo* instance : ranked) {
+      if (instance->mLiveness == Liveness::Alive) {
+        alive.push_back(instance);
       }
     }
     // With each suspect one more instance is probed, so the loss of a whole zone is
@@ -180,24 +177,21 @@
     const std::size_t suspects = ranked.size() - alive.size();
     const std::size_t width = std::min(kDelegatesPerZone + suspects, kMaxProbesPerZone);
     alive.resize(std::min(alive.size(), width));
-    for (const InstanceId& instance : alive) {
-      aProbes.push_back({ instance, ProbeKind::CrossZone });
+    for (const InstanceInfo* instance : alive) {
+      aProbes.push_back({ instance->mInstance, ProbeKind::CrossZone });
     }
   }
+  AddLostZones(aTable, liveZones, aProbes);
 }
 
 void
 ProbeScheduler::AddLostZones(const InstanceTable& aTable,
-                             std::span<const InstanceInfo> aLive,
+                             const std::set<AvailabilityZone>& aLiveZones,
                              Probes& aProbes)
 {
-  std::set<AvailabilityZone> liveZones{ aTable.Self().mAvailabilityZone };
-  for (const InstanceInfo& instance : aLive) {
-    liveZones.insert(instance.mAvailabilityZone);
-  }
   std::map<AvailabilityZone, std::vector<InstanceId>> lost;
   for (const auto& [id, entry] : aTable.Entries()) {
-    if (!liveZones.contains(entry.mInfo.mAvailabilityZone)) {
+    if (!aLiveZones.contains(entry.mInfo.mAvailabilityZone)) {
       lost[entry.mInfo.mAvailabilityZone].push_back(id);
     }
   }
--- a/src/libs/decision/membership/probescheduler.h
+++ b/src/libs/decision/membership/probescheduler.h
@@ -10,7 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <span>
+#include <set>
 #include <vector>
 
 namespace papayaspindle {
@@ -49,8 +49,13 @@
 public:
   ProbeScheduler(MembershipSettings aSettings, RandomHook aRandom);
 
-  /** @return the probes that are due; empty between two probe intervals */
-  std::vector<ScheduledProbe> Due(const InstanceTable& aTable, TimePoint aNow);
+  /**
+   * @param aDelegate whether this instance is a delegate of its zone
+   * @return the probes that are due; empty between two probe intervals
+   */
+  std::vector<ScheduledProbe> Due(const InstanceTable& aTable,
+                                  bool aDelegate,
+                                  TimePoint aNow);
   /** @return up to mIndirectProbes live instances of the own zone, the target aside */
   std::vector<InstanceInfo> Helpers(const InstanceTable& aTable,
                                     const InstanceId& aTarget);
@@ -67,11 +72,9 @@
                  TimePoint aNow,
                  Probes& aProbes);
   void AddRejoin(const InstanceTable& aTable, TimePoint aNow, Probes& aProbes);
-  void AddCrossZone(const InstanceTable& aTable,
-                    std::span<const InstanceInfo> aLive,
-                    Probes& aProbes);
+  void AddCrossZone(const InstanceTable& aTable, Probes& aProbes);
   void AddLostZones(const InstanceTable& aTable,
-                    std::span<const InstanceInfo> aLive,
+                    const std::set<AvailabilityZone>& aLiveZones,
                     Probes& aProbes);
   void AddAntiEntropy(const InstanceTable& aTable, TimePoint aNow, Probes& aProbes);
   std::size_t RandomBelow(std::size_t aBound);
--- a/tests/auto/membership/tst_instancetable.cpp
+++ b/tests/auto/membership/tst_instancetable.cpp
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <string>
 
 using namespace papayaspindle;
 using namespace std::chrono_literals;
@@ -167,16 +167,20 @@
 
 TEST_CASE("each zone has two delegates and all nodes agree on them", "[membership]")
 {
-  std::vector<InstanceInfo> live;
+  std::vector<InstanceInfo> instances;
   for (int i = 0; i < 30; ++i) {
-    live.push_back(
+    instances.push_back(
       Report(std::to_string(i).c_str(), Liveness::Alive, 1, i % 2 == 0 ? "a" : "b"));
   }
-  const auto delegates =
-    std::count_if(live.begin(), live.end(), [&](const InstanceInfo& aInfo) {
-      return IsDelegate(aInfo, live);
-    });
-  CHECK(delegates == 4);
+  std::vector<const InstanceInfo*> live;
+  for (const InstanceInfo& instance : instances) {
+    live.push_back(&instance);
+  }
+  for (const auto& [zone, ranked] : RankByZone(live)) {
+    for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+      CHECK(IsDelegate(*ranked[rank], live) == (rank < kDelegatesPerZone));
+    }
+  }
 }
 
 // Guards against a keeper that acts on what it believed before it was paused.
