Bound the control cost of the allowance manager at full size

Cause: each second every instance ranked all groups, and every home read each of its records every 30 s; with 15,000 groups that is more of the processor than all control work may take, and over 2,000 reads a second. A floor given to an instance that does not know that it is a home would never be released.

Change: the groups of an instance are found in five scans of a fifth each when there are many; a lease answer counts as a reading of the record, so only keepers read; a home gets its first floor only after it has asked for a lease.

Conclusion: 15,000 records read every 30 s come to 500 reads a second.

--- a/src/libs/daemon/connections/allowancemanager.cpp
+++ b/src/libs/daemon/connections/allowancemanager.cpp
@@ -3,6 +3,7 @@
 #include "convert/convert.h"
 #include "daemon/connections/allowancemessages.h"
 #include "daemon/connections/allowancesync.h"
+#include "daemon/connections/owngroups.h"
 #include "daemon/connections/poolshares.h"
 #include "daemon/connections/sharestate.h"
 #include "decision/allowance/allowancetimes.h"
@@ -62,7 +63,10 @@
     , mSubmit(std::move(aSubmit))
     , mNow(std::move(aNow))
     , mState(aServices.mInstances.Self().mInstance, std::move(aProcess))
-    , mSync(aServices, mState, mNow, [this](const GroupId& aGroup) { Push(aGroup); })
+    , mOwnGroups(aServices.mGroups, aServices.mHomes)
+    , mSync(aServices, mState, mOwnGroups, mNow, [this](const GroupId& aGroup) {
+      Push(aGroup);
+    })
   {
   }
 
@@ -78,6 +82,7 @@
   SubmitHook mSubmit;
   NowHook mNow;
   ShareState mState;
+  OwnGroups mOwnGroups;
   AllowanceSync mSync;
   /** Keeps an older share from replacing a newer one at the pools. */
   std::mutex mPushMutex;
@@ -94,7 +99,7 @@
   }
   const std::lock_guard lock(mState.mMutex);
   const auto found = mState.mShares.find(aGroup);
-  return found != mState.mShares.end() && found->second.mHolder.Floor() > 0;
+  return found != mState.mShares.end() && found->second.mHolder.Reserved() > 0;
 }
 
 void
@@ -131,6 +136,10 @@
                      mNow());
     }
     if (!reply->has_error()) {
+      if (homes.front() != mState.mSelf) {
+        // The keeper's copy is as good as an own reading, so only the keeper reads often.
+        share.mReadAt = mNow();
+      }
       share.mHolder.OnGrant(number,
                             reply->granted(),
                             std::chrono::milliseconds(reply->lease_ms()),
@@ -248,7 +257,8 @@
 void
 AllowanceManager::RenewLeases()
 {
-  for (const GroupId& group : mPrivate->mServices.mGroups.Names()) {
+  mPrivate->mOwnGroups.Scan();
+  for (const GroupId& group : mPrivate->mState.Known(mPrivate->mOwnGroups.List())) {
     if (!mPrivate->WantsLease(group)) {
       continue;
     }
--- a/src/libs/daemon/connections/allowancesync.cpp
+++ b/src/libs/daemon/connections/allowancesync.cpp
@@ -20,6 +20,9 @@
 /** Pause between two reads of a record in which nothing is expected to change. At full
  * size, 15,000 keepers' reads come to 500 a second. */
 constexpr std::chrono::seconds kQuietRead{ 30 };
+/** Pause at an instance that was a home and has nothing to release; a keeper with an
+ * older view of the homes may still give it a floor. */
+constexpr std::chrono::minutes kFormerRead{ 5 };
 /** Pause while a release or a claim of another instance is awaited. */
 constexpr std::chrono::seconds kAwaitingRead{ 2 };
 
@@ -27,10 +30,12 @@
 
 AllowanceSync::AllowanceSync(const AllowanceServices& aServices,
                              ShareState& aState,
+                             const OwnGroups& aOwnGroups,
                              NowHook aNow,
                              std::function<void(const GroupId&)> aChanged)
   : mServices(aServices)
   , mState(aState)
+  , mOwnGroups(aOwnGroups)
   , mNow(std::move(aNow))
   , mChanged(std::move(aChanged))
   , mStore(aServices.mTables)
@@ -43,7 +48,7 @@
 {
   mStoreFailed = false;
   mWatched.clear();
-  const std::vector<GroupId> groups = mServices.mGroups.Names();
+  const std::set<GroupId> groups = mState.Known(mOwnGroups.List());
   const bool keeps = std::any_of(groups.begin(), groups.end(), [this](const auto& aName) {
     return mServices.mHomes.OwnRank(aName) == 0;
   });
@@ -272,9 +277,13 @@
       share.mLedger.SetLimit(settings->mConnectionLimit, settings->mRevision);
     }
     const bool claimed = share.mRecord && share.mRecord->mKeeper == mState.mSelf;
+    const bool former = rank < 0 && !claimed && share.mHolder.Reserved() == 0;
     const bool quiet =
       share.mRecord && claimed == (rank == 0) && !AwaitsRelease(*share.mRecord);
-    const Duration pause = quiet ? kQuietRead : kAwaitingRead;
+    Duration pause = quiet ? kQuietRead : kAwaitingRead;
+    if (former) {
+      pause = kFormerRead;
+    }
     due = !share.mReadAt || mNow() - *share.mReadAt >= pause;
   }
   if (due) {
@@ -352,8 +361,10 @@
 {
   FloorPlanInput input;
   input.mHomes = mServices.mHomes.HomesOf(aGroup);
-  input.mIsListed = [this](const InstanceId& aInstance) {
-    return mListed.IsListed(aInstance);
+  input.mMayReceive = [this, aGroup](const InstanceId& aInstance) {
+    const std::lock_guard lock(mState.mMutex);
+    return mListed.IsListed(aInstance) &&
+           mState.ShareOf(aGroup).mLedger.HasAsked(aInstance, mNow());
   };
   input.mHasEnded = [this](const InstanceId& aInstance) {
     // The list lags; an instance that still answers probes has not ended.
--- a/src/libs/daemon/connections/allowancesync.h
+++ b/src/libs/daemon/connections/allowancesync.h
@@ -3,6 +3,7 @@
 #include "core/hooks.h"
 #include "daemon/connections/allowancemanager.h"
 #include "daemon/connections/allowancestore.h"
+#include "daemon/connections/owngroups.h"
 #include "daemon/connections/sharestate.h"
 #include "decision/allowance/authoritywatcher.h"
 #include "decision/allowance/floorplan.h"
@@ -28,6 +29,7 @@
   /** @param aChanged called without a lock after a group's record has changed here */
   AllowanceSync(const AllowanceServices& aServices,
                 ShareState& aState,
+                const OwnGroups& aOwnGroups,
                 NowHook aNow,
                 std::function<void(const GroupId&)> aChanged);
 
@@ -54,6 +56,7 @@
 
   AllowanceServices mServices;
   ShareState& mState;
+  const OwnGroups& mOwnGroups;
   NowHook mNow;
   std::function<void(const GroupId&)> mChanged;
   AllowanceStore mStore;
--- a/src/libs/daemon/connections/sharestate.h
+++ b/src/libs/daemon/connections/sharestate.h
@@ -6,8 +6,10 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace papayaspindle {
 
@@ -26,6 +28,17 @@
     return mShares.try_emplace(aGroup, mSelf).first->second;
   }
 
+  /** @return aGroups and the groups that have a share, each once */
+  std::set<GroupId> Known(const std::vector<GroupId>& aGroups)
+  {
+    std::set<GroupId> known(aGroups.begin(), aGroups.end());
+    const std::lock_guard lock(mMutex);
+    for (const auto& [group, share] : mShares) {
+      known.insert(group);
+    }
+    return known;
+  }
+
   const InstanceId mSelf;
   std::mutex mMutex;
   AuthorityHolder mAuthority;
--- a/src/libs/decision/allowance/allowanceholder.cpp
+++ b/src/libs/decision/allowance/allowanceholder.cpp
@@ -50,17 +50,30 @@
   mSentAt.erase(mSentAt.begin(), std::next(sent));
 }
 
-std::uint32_t
-AllowanceHolder::Floor() const
+HomeFloor
+AllowanceHolder::Own() const
 {
   for (const HomeFloor& floor : mRecord.mFloors) {
     if (floor.mHome == mSelf) {
-      // A release that was sent may take effect late, but only while the record keeps its
-      // version. What it would release is therefore unused at this version.
-      return std::min(floor.mFloor, floor.mTarget);
+      return floor;
     }
   }
-  return 0;
+  return {};
+}
+
+std::uint32_t
+AllowanceHolder::Floor() const
+{
+  // A release that was sent may take effect late, but only while the record keeps its
+  // version. What it would release is therefore unused at this version.
+  const HomeFloor own = Own();
+  return std::min(own.mFloor, own.mTarget);
+}
+
+std::uint32_t
+AllowanceHolder::Reserved() const
+{
+  return Own().mFloor;
 }
 
 std::uint32_t
--- a/src/libs/decision/allowance/allowanceholder.h
+++ b/src/libs/decision/allowance/allowanceholder.h
@@ -46,6 +46,8 @@
 
   /** @return connections usable whatever happens to the keeper and the table service */
   [[nodiscard]] std::uint32_t Floor() const;
+  /** @return the floor in the record, also what of it is to be released */
+  [[nodiscard]] std::uint32_t Reserved() const;
   /** @return size of the lease that is used until LeaseEnd */
   [[nodiscard]] std::uint32_t Lease() const;
   [[nodiscard]] TimePoint LeaseEnd() const;
@@ -69,6 +71,8 @@
   [[nodiscard]] std::uint64_t RecordVersion() const;
 
 private:
+  [[nodiscard]] HomeFloor Own() const;
+
   InstanceId mSelf;
   AllocationRecord mRecord;
   std::uint64_t mClaim = 0;
--- a/src/libs/decision/allowance/allowanceledger.cpp
+++ b/src/libs/decision/allowance/allowanceledger.cpp
@@ -62,6 +62,7 @@
                        std::optional<std::uint64_t> aValidEpoch,
                        TimePoint aNow)
 {
+  mAsked[aRequest.mHolder] = aNow;
   LeaseGrant grant;
   grant.mClaim = mRecord.mClaim;
   grant.mRefusal = Check(aRequest, aValidEpoch, aNow);
@@ -84,6 +85,13 @@
   return grant;
 }
 
+bool
+AllowanceLedger::HasAsked(const InstanceId& aHolder, TimePoint aNow) const
+{
+  const auto found = mAsked.find(aHolder);
+  return found != mAsked.end() && aNow - found->second < kLeaseDuration;
+}
+
 void
 AllowanceLedger::StopGranting()
 {
@@ -154,6 +162,9 @@
     std::erase_if(holder.mLeases,
                   [aNow](const Lease& aLease) { return aLease.mUntil <= aNow; });
   }
+  std::erase_if(mAsked, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second >= kLeaseDuration;
+  });
   // A home that has not asked for the length of a lease wants nothing any more.
   std::erase_if(mHolders, [aNow](const auto& aEntry) {
     return aEntry.second.mLeases.empty() &&
--- a/src/libs/decision/allowance/allowanceledger.h
+++ b/src/libs/decision/allowance/allowanceledger.h
@@ -83,6 +83,10 @@
                    std::optional<std::uint64_t> aValidEpoch,
                    TimePoint aNow);
 
+  /** @return whether the instance has asked for a lease in the last kLeaseDuration, also
+   * when it was refused */
+  [[nodiscard]] bool HasAsked(const InstanceId& aHolder, TimePoint aNow) const;
+
   /** Grants nothing more under the present claim; called before the claim is given up. A
    * new claim is needed to grant again, since the write that gives up may take effect
    * late.
@@ -126,6 +130,7 @@
   /** End of the quarantine; empty while this instance has no claim. */
   std::optional<TimePoint> mGrantsFrom;
   std::map<InstanceId, Holder> mHolders;
+  std::map<InstanceId, TimePoint> mAsked;
 };
 
 } // namespace papayaspindle
--- a/src/libs/decision/allowance/floorplan.cpp
+++ b/src/libs/decision/allowance/floorplan.cpp
@@ -105,9 +105,9 @@
     return aInput.mHasEnded(aFloor.mHome);
   });
   std::vector<InstanceId> homes = aInput.mHomes;
-  // A home that has a floor keeps it while single readings of the list miss the home.
+  // A home that has a floor keeps it while a reading of the list or a request is missing.
   std::erase_if(homes, [&aInput, &next](const InstanceId& aHome) {
-    return !aInput.mIsListed(aHome) && FindHome(next, aHome) == nullptr;
+    return !aInput.mMayReceive(aHome) && FindHome(next, aHome) == nullptr;
   });
   if (homes.empty()) {
     return aRecord;
--- a/src/libs/decision/allowance/floorplan.h
+++ b/src/libs/decision/allowance/floorplan.h
@@ -13,9 +13,10 @@
 {
   /** The group's homes in rank order. */
   std::vector<InstanceId> mHomes;
-  /** Whether the platform's list names the instance. An instance that it does not name
-   * yet gets no floor, because its absence would soon count as its end. */
-  std::function<bool(const InstanceId&)> mIsListed;
+  /** Whether a home without a floor may get one. The platform's list must name it,
+   * because its absence would soon count as its end; and it must have asked for a lease,
+   * because an instance that does not know that it is a home releases nothing. */
+  std::function<bool(const InstanceId&)> mMayReceive;
   /** Whether the platform's list says that the instance has ended. */
   std::function<bool(const InstanceId&)> mHasEnded;
   std::uint32_t mLimit = 0;
--- a/tests/auto/allowance/tst_allowanceexploration.cpp
+++ b/tests/auto/allowance/tst_allowanceexploration.cpp
@@ -316,7 +316,7 @@
     }
     std::rotate(input.mHomes.begin(), input.mHomes.begin() + mKeeper, input.mHomes.end());
     input.mHomes.resize(2 + Below(kInstances - 1));
-    input.mIsListed = [](const InstanceId&) { return true; };
+    input.mMayReceive = [](const InstanceId&) { return true; };
     input.mHasEnded = [](const InstanceId&) { return false; };
     input.mLimit = mLimit;
     input.mLimitRevision = mRevision;
--- a/tests/auto/allowance/tst_floorplan.cpp
+++ b/tests/auto/allowance/tst_floorplan.cpp
@@ -75,7 +75,7 @@
     record.mFloors = c.mBefore;
     FloorPlanInput input;
     input.mHomes = c.mHomes;
-    input.mIsListed = [](const InstanceId&) { return true; };
+    input.mMayReceive = [](const InstanceId&) { return true; };
     input.mHasEnded = [&c](const InstanceId& aInstance) {
       return Contains(c.mEnded, aInstance);
     };
@@ -90,13 +90,13 @@
 {
   FloorPlanInput input;
   input.mHomes = { kA, kB };
-  input.mIsListed = [](const InstanceId& aInstance) { return aInstance == kB; };
+  input.mMayReceive = [](const InstanceId& aInstance) { return aInstance == kB; };
   input.mHasEnded = [](const InstanceId&) { return false; };
   input.mLimit = 8;
   input.mLimitRevision = 1;
   const AllocationRecord next = PlanFloors(AllocationRecord(), input);
   CHECK(next.mFloors == std::vector<HomeFloor>{ { kB, 4, 4 } });
-  input.mIsListed = [](const InstanceId&) { return false; };
+  input.mMayReceive = [](const InstanceId&) { return false; };
   CHECK(PlanFloors(next, input).mFloors[0] == HomeFloor{ kB, 4, 4 });
 }
 
