--- a/src/app/serve/managerparts.cpp
+++ b/src/app/serve/managerparts.cpp
@@ -74,6 +74,17 @@
   , mMonitor({ aCommon.mGroups, mHomes, aTransport.mMembers },
              MonitorSettingsOf(aCommon.mSettings),
              SystemNow())
+  , mFailovers({ aCommon.mGroups,
+                 mHomes,
+                 mMembership,
+                 aTransport.mMembers,
+                 mMonitor,
+                 aTransport.mPeerClient,
+                 aTransport.mHandlers,
+                 aTransport.mTables,
+                 aCommon.mTracer },
+               FailoverSettingsOf(aCommon.mSettings),
+               { SystemNow(), SystemRandom() })
   , mConnectionTasks(SubmitTo(aCommon.mConnectionPool))
   , mConnections({ OpenMemberConnections(aTransport.mMemberChannels),
                    SubmitTo(mConnectionTasks),
@@ -130,6 +141,7 @@
   mMembership.Start();
   mConfiguration.Start();
   mMonitor.Start();
+  mFailovers.Start();
   Every(kConnectionTick, [this] { mConnections.Tick(); });
   Every(kIdleTransactionTick, [this] { mStatements.CloseIdleTransactions(); });
   Every(mAllowanceInterval, [this] { mAllowances.RenewLeases(); });
@@ -142,6 +154,7 @@
   mTimers.clear();
   mAllowances.GiveUp();
   mMonitor.Stop();
+  mFailovers.Stop();
   mAllowanceTasks.Stop();
   mConnectionTasks.Stop();
   mConfiguration.Stop();
--- a/src/app/serve/managersettings.cpp
+++ b/src/app/serve/managersettings.cpp
@@ -140,6 +140,22 @@
   return settings;
 }
 
+FailoverManagerSettings
+FailoverSettingsOf(const Settings& aSettings)
+{
+  FailoverManagerSettings settings;
+  settings.mKeeper.mSuspicion.mSilent = aSettings.mSuspectAfter;
+  settings.mKeeper.mSuspicion.mRefused = aSettings.mRefusedAfter;
+  settings.mKeeper.mSuspicion.mPerRank = aSettings.mRankDelay;
+  settings.mKeeper.mReconcile.mPerRank = aSettings.mRankDelay;
+  settings.mKeeper.mFailover.mBackoffLeast = aSettings.mBackoffMin;
+  settings.mKeeper.mFailover.mBackoffMost = aSettings.mBackoffMax;
+  settings.mMemberTimeout = aSettings.mFailoverCallTimeout;
+  settings.mPeerTimeout = aSettings.mFailoverCallTimeout;
+  settings.mStoreTimeout = aSettings.mPlatformTimeout;
+  return settings;
+}
+
 MonitorSettings
 MonitorSettingsOf(const Settings& aSettings)
 {
--- a/src/app/serve/managersettings.h
+++ b/src/app/serve/managersettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/configuration/configurationmanager.h"
+#include "daemon/failover/failovermanager.h"
 #include "daemon/membership/membershipmanager.h"
 #include "daemon/monitor/membermonitor.h"
 #include "daemon/statements/statementsettings.h"
@@ -25,6 +26,7 @@
 ChannelSettings PlatformChannelSettings(const Settings& aSettings);
 MembershipManagerSettings MembershipSettingsOf(const Settings& aSettings);
 ConfigurationManagerSettings ConfigurationSettingsOf(const Settings& aSettings);
+FailoverManagerSettings FailoverSettingsOf(const Settings& aSettings);
 MonitorSettings MonitorSettingsOf(const Settings& aSettings);
 StatementSettings StatementSettingsOf(const Settings& aSettings);
 
--- a/src/app/serve/serverparts.h
+++ b/src/app/serve/serverparts.h
@@ -3,6 +3,7 @@
 #include "daemon/configuration/configurationmanager.h"
 #include "daemon/connections/allowancemanager.h"
 #include "daemon/connections/connectionmanager.h"
+#include "daemon/failover/failovermanager.h"
 #include "daemon/membership/membershipmanager.h"
 #include "daemon/monitor/membermonitor.h"
 #include "daemon/statements/freshnessboard.h"
@@ -96,6 +97,7 @@
   ConfigurationManager mConfiguration;
   FreshnessBoard mFreshness;
   MemberMonitor mMonitor;
+  FailoverManager mFailovers;
   TaskGroup mConnectionTasks;
   ConnectionManager mConnections;
   TaskGroup mAllowanceTasks;
--- a/src/app/settings/settingrows.cpp
+++ b/src/app/settings/settingrows.cpp
@@ -147,7 +147,7 @@
 
   Time("failover", "rank_delay_ms", &S::mRankDelay, "500", 50, kMinute,
     "Added to the thresholds for each rank below the keeper, so that homes act in turn."),
-  Time("failover", "call_timeout_ms", &S::mFailoverCallTimeout, "500", 10, kMinute,
+  Time("failover", "call_timeout_ms", &S::mFailoverCallTimeout, "300", 10, kMinute,
     "How long each step's call to a member may take."),
   Time("failover", "backoff_min_ms", &S::mBackoffMin, "50", 1, kMinute,
     "Shortest pause after a conflict with another keeper."),
