Leave the span of the wait for a connection to the connection manager

Cause: both the data path and the connection manager recorded connection_wait. Change: the data path passes its trace context to Acquire instead. Conclusion: one span for each wait.

--- a/src/libs/daemon/statements/membersession.cpp
+++ b/src/libs/daemon/statements/membersession.cpp
@@ -15,14 +15,13 @@
                     HomeRequest& aRequest,
                     const SessionTarget& aTarget)
 {
-  auto span = aPath.mTracer.Start("connection_wait", aRequest.mTraceparent);
   const auto connection = aPath.mConnections.Acquire({ aRequest.mGroup.mGroup,
                                                        aTarget.mMember,
                                                        aRequest.mCaller,
                                                        aTarget.mWrite,
-                                                       aRequest.mDeadline });
+                                                       aRequest.mDeadline,
+                                                       aRequest.mTraceparent });
   if (!IsOk(connection)) {
-    span.SetError(ErrorOf(connection).mMessage);
     return ErrorOf(connection);
   }
   return Adopt(aPath, aRequest, aTarget, ValueOf(connection));
