Let a large system start without a flood of connections

Cause: each starting instance knew no other of its zone, counted itself a delegate and connected to all zones; 225 nodes in 15 zones ran out of 20,000 descriptors and never agreed. Entries that only anti-entropy carried took a minute to reach 25 instances, and a suspect of another zone whose death report was lost stayed suspect for ever. Change: an instance gets to know its own zone for 5 s before it probes others; a few news from anti-entropy are sent on, many are fetched again at once, also by the side that lacks them; stale suspects of every zone are probed.

--- a/src/libs/decision/membership/instancetable.cpp
+++ b/src/libs/decision/membership/instancetable.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/membership/stablehash.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -11,6 +12,8 @@
 
 constexpr std::uint64_t kBucketSeed = 1;
 constexpr std::uint64_t kDigestSeed = 2;
+// Tables are far apart when more than one in this many buckets differs.
+constexpr std::size_t kFarShare = 8;
 
 int
 RankOf(Liveness aLiveness)
@@ -365,6 +368,20 @@
   return digest;
 }
 
+bool
+InstanceTable::IsFarFrom(std::span<const std::uint64_t> aTheirs) const
+{
+  if (aTheirs.size() != kBuckets) {
+    return false;
+  }
+  const std::vector<std::uint64_t> own = Digest();
+  std::size_t differing = 0;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    differing += own[bucket] != aTheirs[bucket] ? 1 : 0;
+  }
+  return differing * kFarShare > std::min(kBuckets, mEntries.size());
+}
+
 std::vector<InstanceInfo>
 InstanceTable::EntriesThatDiffer(std::span<const std::uint64_t> aTheirs) const
 {
--- a/src/libs/decision/membership/instancetable.h
+++ b/src/libs/decision/membership/instancetable.h
@@ -109,6 +109,12 @@
 
   /** @return one digest for each bucket, dead instances and candidates aside */
   [[nodiscard]] std::vector<std::uint64_t> Digest() const;
+  /**
+   * @param aTheirs another table's digest; may be empty
+   * @return whether so many buckets differ that one of the tables lacks more than the
+   * updates under way
+   */
+  [[nodiscard]] bool IsFarFrom(std::span<const std::uint64_t> aTheirs) const;
   /**
    * @param aTheirs another table's digest
    * @return entries of the buckets that differ, this instance included
--- a/src/libs/decision/membership/membership.cpp
+++ b/src/libs/decision/membership/membership.cpp
@@ -128,6 +128,10 @@
     answer.mReply.mUpdates.push_back(sender->mInfo);
   }
   answer.mReply.mEntries = mTable.EntriesThatDiffer(aProbe.mDigest);
+  // This table may be the one that lacks entries.
+  if (mTable.IsFarFrom(aProbe.mDigest)) {
+    mScheduler.HastenAntiEntropy();
+  }
   return answer;
 }
 
@@ -159,9 +163,6 @@
   mPause.NoteAnswer(flight.mSent);
   MembershipActions actions;
   MergeMessage(aReply, aNow, actions);
-  if (!actions.empty() && !aReply.mEntries.empty()) {
-    mScheduler.HastenAntiEntropy();
-  }
   if (flight.mKind == ProbeKind::Urgent) {
     mUrgent.NoteAnswered(flight.mReceiver);
   }
@@ -305,13 +306,24 @@
       NoteChange(*changed, false, aNow, aActions);
     }
   }
+  std::vector<InstanceInfo> news;
   for (const InstanceInfo& entry : aMessage.mEntries) {
-    // Entries are old news: each table gets them by its own anti-entropy. Sending them on
-    // would fill the probes of a joining instance for hours at full size.
-    if (const auto changed = mTable.ApplyEntry(entry, zone, aNow)) {
-      aActions.emplace_back(InstanceChanged{ *changed });
+    if (auto changed = mTable.ApplyEntry(entry, zone, aNow)) {
+      news.push_back(std::move(*changed));
     }
   }
+  // The entries that a joining instance fetches are old news to the others; sending them
+  // on would fill its probes for hours at full size.
+  const bool few = news.size() <= mSettings.mMaxPiggyback;
+  for (const InstanceInfo& changed : news) {
+    aActions.emplace_back(InstanceChanged{ changed });
+    if (few) {
+      mUpdates.Add(changed);
+    }
+  }
+  if (!few) {
+    mScheduler.HastenAntiEntropy();
+  }
 }
 
 void
--- a/src/libs/decision/membership/membershipsettings.h
+++ b/src/libs/decision/membership/membershipsettings.h
@@ -24,6 +24,9 @@
   std::chrono::milliseconds mAntiEntropyInterval{ 10000 };
   /** Between probes of dead but listed instances of the own zone. */
   std::chrono::milliseconds mRejoinInterval{ 5000 };
+  /** A starting instance first gets to know its own zone; until then it would count
+   * itself a delegate and connect to every other zone. */
+  std::chrono::milliseconds mJoinTime{ 5000 };
   /** A longer gap between two ticks counts as a pause. */
   std::chrono::milliseconds mPauseGap{ 1000 };
   std::size_t mIndirectProbes = 3;
--- a/src/libs/decision/membership/probescheduler.cpp
+++ b/src/libs/decision/membership/probescheduler.cpp
@@ -61,9 +61,9 @@
   mNextProbe = (behind ? aNow : *mNextProbe) + mSettings.mProbeInterval;
   Probes probes;
   AddRound(aTable, probes);
-  AddVerify(aTable, aDelegate, aNow, probes);
+  AddVerify(aTable, aNow, probes);
   AddRejoin(aTable, aNow, probes);
-  if (aDelegate) {
+  if (aDelegate && !IsJoining(aTable, aNow)) {
     AddCrossZone(aTable, probes);
   }
   AddAntiEntropy(aTable, aNow, probes);
@@ -119,17 +119,13 @@
 }
 
 void
-ProbeScheduler::AddVerify(const InstanceTable& aTable,
-                          bool aDelegate,
-                          TimePoint aNow,
-                          Probes& aProbes)
+ProbeScheduler::AddVerify(const InstanceTable& aTable, TimePoint aNow, Probes& aProbes)
 {
   Probes due;
   for (const auto& [id, entry] : aTable.Entries()) {
-    const bool ours =
-      aDelegate || entry.mInfo.mAvailabilityZone == aTable.Self().mAvailabilityZone;
+    // Also of other zones: the report that ended the suspicion may have been lost.
     const bool ripe = entry.mSilentHere || aNow - entry.mSince >= mSettings.mVerifyAfter;
-    if (ours && ripe && IsSuspect(entry)) {
+    if (ripe && IsSuspect(entry)) {
       due.push_back({ id, ProbeKind::Verify });
     }
   }
@@ -157,6 +153,21 @@
   }
 }
 
+bool
+ProbeScheduler::IsJoining(const InstanceTable& aTable, TimePoint aNow)
+{
+  if (!mStarted) {
+    mStarted = aNow;
+  }
+  if (aNow - *mStarted >= mSettings.mJoinTime) {
+    return false;
+  }
+  const auto& entries = aTable.Entries();
+  return std::any_of(entries.begin(), entries.end(), [&](const auto& aPair) {
+    return aPair.second.mInfo.mAvailabilityZone == aTable.Self().mAvailabilityZone;
+  });
+}
+
 void
 ProbeScheduler::AddCrossZone(const InstanceTable& aTable, Probes& aProbes)
 {
--- a/src/libs/decision/membership/probescheduler.h
+++ b/src/libs/decision/membership/probescheduler.h
@@ -67,11 +67,10 @@
 
   void AddRound(const InstanceTable& aTable, Probes& aProbes);
   std::optional<InstanceId> NextOfRound(const InstanceTable& aTable);
-  void AddVerify(const InstanceTable& aTable,
-                 bool aDelegate,
-                 TimePoint aNow,
-                 Probes& aProbes);
+  void AddVerify(const InstanceTable& aTable, TimePoint aNow, Probes& aProbes);
   void AddRejoin(const InstanceTable& aTable, TimePoint aNow, Probes& aProbes);
+  /** @return whether this instance still gets to know the others of its zone */
+  bool IsJoining(const InstanceTable& aTable, TimePoint aNow);
   void AddCrossZone(const InstanceTable& aTable, Probes& aProbes);
   void AddLostZones(const InstanceTable& aTable,
                     const std::set<AvailabilityZone>& aLiveZones,
@@ -83,6 +82,7 @@
 
   MembershipSettings mSettings;
   RandomHook mRandom;
+  std::optional<TimePoint> mStarted;
   std::optional<TimePoint> mNextProbe;
   std::optional<TimePoint> mNextRejoin;
   std::optional<TimePoint> mNextAntiEntropy;
