Poll every member often while no primary is known

Cause: after a start, members were polled once a second until a primary was known. Change: without a known primary each member is polled at the primary's interval. Conclusion: a started instance learns the primary sooner.

--- a/src/libs/daemon/monitor/membermonitor.cpp
+++ b/src/libs/daemon/monitor/membermonitor.cpp
@@ -60,7 +60,7 @@
   std::unique_ptr<PeriodicTask> mTimer;
 
   std::vector<GroupId> HomeGroups();
-  Duration IntervalOf(const GroupId& aGroup, bool aPrimary, TimePoint aNow);
+  Duration IntervalOf(const GroupId& aGroup, bool aUrgent, TimePoint aNow);
   bool Begin(PollTask& aTask, Duration aInterval, TimePoint aNow);
   void PollGroup(const GroupId& aGroup);
   void Submit(const PollTask& aTask);
@@ -91,10 +91,10 @@
 }
 
 Duration
-MemberMonitor::Private::IntervalOf(const GroupId& aGroup, bool aPrimary, TimePoint aNow)
+MemberMonitor::Private::IntervalOf(const GroupId& aGroup, bool aUrgent, TimePoint aNow)
 {
   // The first two homes detect and confirm; the others would only add polls.
-  if (aPrimary && mReferences.mHomes.OwnRank(aGroup) <= 1) {
+  if (aUrgent && mReferences.mHomes.OwnRank(aGroup) <= 1) {
     return mSettings.mPrimaryInterval;
   }
   const std::lock_guard lock(mMutex);
@@ -102,7 +102,7 @@
   const bool busy =
     found != mLastStatement.end() && aNow - found->second < mSettings.mIdleAfter;
   const Duration interval =
-    aPrimary ? mSettings.mPrimaryInterval : mSettings.mBusyInterval;
+    aUrgent ? mSettings.mPrimaryInterval : mSettings.mBusyInterval;
   return busy ? interval : mSettings.mIdleInterval;
 }
 
@@ -133,7 +133,9 @@
   const TimePoint now = mNow();
   for (const MemberSettings& member : settings->mMembers) {
     PollTask task{ aGroup, member.mMember, member.mAddress };
-    if (Begin(task, IntervalOf(aGroup, member.mMember == primary, now), now)) {
+    // Without a known primary, every member may be the one to learn it from.
+    const bool urgent = primary.IsEmpty() || member.mMember == primary;
+    if (Begin(task, IntervalOf(aGroup, urgent, now), now)) {
       Submit(task);
     }
   }
