Report allocated memory in the control measurement

Cause: resident memory of a run is understated when earlier runs of the process left pages behind. Change: allocated memory per node is reported too, and slopes use it.

--- a/src/app/controlbench/controlbench.cpp
+++ b/src/app/controlbench/controlbench.cpp
@@ -67,7 +67,8 @@
 {
   return fmt::format("{{\"nodes\":{},\"zones\":{},\"groups\":{},\"changes_per_s\":{},"
                      "\"cpu_percent_per_node\":{:.3f},\"rss_mb_per_node\":{:.3f},"
-                     "\"bytes_per_s_per_node\":{:.0f},\"config_spread_ms_p99\":{:.0f},"
+                     "\"heap_mb_per_node\":{:.3f},\"bytes_per_s_per_node\":{:.0f},"
+                     "\"config_spread_ms_p99\":{:.0f},"
                      "\"config_spread_ms_max\":{:.0f},\"changes\":{},"
                      "\"refused_changes\":{},\"nodes_behind\":{},\"join_s\":{:.1f}}}",
                      aFigures.mSize.mNodes,
@@ -76,6 +77,7 @@
                      aFigures.mSize.mChangesPerSecond,
                      aFigures.mCpuPercentPerNode,
                      aFigures.mRssMbPerNode,
+                     aFigures.mHeapMbPerNode,
                      aFigures.mBytesPerSecondPerNode,
                      aFigures.mSpreadMsP99,
                      aFigures.mSpreadMsMax,
@@ -89,19 +91,19 @@
 SlopesToJson(const Series& aSeries, double aUnit)
 {
   std::vector<double> cpu;
-  std::vector<double> rss;
+  std::vector<double> heap;
   std::vector<double> bytes;
   for (const ControlFigures& run : aSeries.mRuns) {
     cpu.push_back(run.mCpuPercentPerNode);
-    rss.push_back(run.mRssMbPerNode);
+    heap.push_back(run.mHeapMbPerNode);
     bytes.push_back(run.mBytesPerSecondPerNode);
   }
   return fmt::format(
-    "\"{}\":{{\"cpu_percent_per_node\":{:.4f},\"rss_mb_per_node\":{:.3f},"
+    "\"{}\":{{\"cpu_percent_per_node\":{:.4f},\"heap_mb_per_node\":{:.3f},"
     "\"bytes_per_s_per_node\":{:.1f}}}",
     aSeries.mName,
     SlopeOf(aSeries.mValues, cpu) * aUnit,
-    SlopeOf(aSeries.mValues, rss) * aUnit,
+    SlopeOf(aSeries.mValues, heap) * aUnit,
     SlopeOf(aSeries.mValues, bytes) * aUnit);
 }
 
--- a/src/app/controlbench/controlrun.cpp
+++ b/src/app/controlbench/controlrun.cpp
@@ -214,6 +214,7 @@
   ControlFigures figures;
   figures.mSize = aSize;
   const double rssBefore = ProcessRssMb();
+  const double heapBefore = ProcessHeapMb();
   ControlCluster cluster(aSize);
   figures.mJoinSeconds = Join(cluster);
   // Until the updates of the join have ended their rounds.
@@ -231,6 +232,8 @@
     static_cast<double>(cluster.Bytes() - bytesBefore) / perNode;
   figures.mRssMbPerNode =
     (ProcessRssMb() - rssBefore) / static_cast<double>(aSize.mNodes);
+  figures.mHeapMbPerNode =
+    (ProcessHeapMb() - heapBefore) / static_cast<double>(aSize.mNodes);
   std::this_thread::sleep_for(kSpreadTarget);
   figures.mNodesBehind = cluster.NodesBehind();
   NoteSpread(cluster.TakeSamples(), figures);
--- a/src/app/controlbench/controlrun.h
+++ b/src/app/controlbench/controlrun.h
@@ -23,8 +23,11 @@
   ControlSize mSize;
   /** Of one core. */
   double mCpuPercentPerNode = 0;
-  /** Memory that the node adds to the process. */
+  /** Resident memory that the node adds to the process. Exact for the first run of a
+   * process only: later runs reuse pages that earlier ones left. */
   double mRssMbPerNode = 0;
+  /** Allocated memory that the node adds; stacks are not in it. */
+  double mHeapMbPerNode = 0;
   /** Sent and received, peers and platform. */
   double mBytesPerSecondPerNode = 0;
   double mSpreadMsP99 = 0;
--- a/src/app/controlbench/processusage.cpp
+++ b/src/app/controlbench/processusage.cpp
@@ -41,4 +41,11 @@
   return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / kBytesPerMb;
 }
 
+double
+ProcessHeapMb()
+{
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd) / kBytesPerMb;
+}
+
 } // namespace papayaspindle
