--- a/src/app/serve/groupreport.cpp
+++ b/src/app/serve/groupreport.cpp
@@ -1,5 +1,7 @@
 #include "serve/groupreport.h"
 
+#include "daemon/connections/connectionmanager.h"
+#include "daemon/failover/failovermanager.h"
 #include "daemon/statements/freshnessboard.h"
 
 #include <chrono>
@@ -36,4 +38,27 @@
   };
 }
 
+GroupReportHook
+ReportFailovers(const FailoverManager& aFailovers)
+{
+  return [&aFailovers](const GroupId& aGroup, v1::ShowGroupReply& aReply) {
+    for (v1::MemberState& member : *aReply.mutable_members()) {
+      const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+        aFailovers.Silence(aGroup, MemberId(member.member())));
+      member.set_silence_ms(static_cast<std::uint64_t>(silence.count()));
+    }
+    if (const auto report = aFailovers.LastFailover(aGroup)) {
+      *aReply.mutable_last_failover() = *report;
+    }
+  };
+}
+
+GroupReportHook
+ReportConnections(ConnectionManager& aConnections)
+{
+  return [&aConnections](const GroupId& aGroup, v1::ShowGroupReply& aReply) {
+    aReply.set_connections_in_use(aConnections.Held(aGroup));
+  };
+}
+
 } // namespace papayaspindle
--- a/src/app/serve/groupreport.h
+++ b/src/app/serve/groupreport.h
@@ -6,6 +6,8 @@
 
 namespace papayaspindle {
 
+class ConnectionManager;
+class FailoverManager;
 class FreshnessBoard;
 
 /** @return a hook that adds each member's role, position and proven age */
@@ -13,4 +15,11 @@
                               const FreshnessBoard& aFreshness,
                               NowHook aNow);
 
+/** @return a hook that adds the members' silence and the last failover; comes after
+ * ReportMembers() */
+GroupReportHook ReportFailovers(const FailoverManager& aFailovers);
+
+/** @return a hook that adds the connections that are open from here */
+GroupReportHook ReportConnections(ConnectionManager& aConnections);
+
 } // namespace papayaspindle
--- a/src/app/serve/serviceparts.cpp
+++ b/src/app/serve/serviceparts.cpp
@@ -32,7 +32,9 @@
                  aManagers.mHomes,
                  aManagers.mMembership,
                  aCommon.mMetrics,
-                 { ReportMembers(aCommon.mGroups, aManagers.mFreshness, SystemNow()) },
+                 { ReportMembers(aCommon.mGroups, aManagers.mFreshness, SystemNow()),
+                   ReportFailovers(aManagers.mFailovers),
+                   ReportConnections(aManagers.mConnections) },
                  EffectiveSettings(aCommon.mSettings) },
                { aCommon.mOperatorPool, aCommon.mGate, aCommon.mTracer, "operator_call" })
 {
