Acknowledge a write once a second member's log holds it

Cause: the wait for a position asked for the applied position, so with a replication lag an acknowledgement waited for the lag although a second member held the write. A channel that could not connect stayed in its backoff: members that came up after the first polls stayed unreachable for 5 to 9 s. Change: MemberControl::WaitForPosition says whether the log must hold the position or reads must see it; a channel that could not connect is replaced. Conclusion: acknowledgements follow the log, reads follow the applied position.

--- a/src/libs/daemon/statements/readrunner.cpp
+++ b/src/libs/daemon/statements/readrunner.cpp
@@ -215,8 +215,8 @@
     return;
   }
   const auto askedAt = mPath.mHooks.mNow();
-  const auto reply =
-    mPath.mMembers.WaitForPosition(member->mAddress, aAction.mPosition, timeout);
+  const auto reply = mPath.mMembers.WaitForPosition(
+    member->mAddress, aAction.mPosition, PositionReached::Applied, timeout);
   const auto& group = aRequest.mGroup.mGroup;
   if (IsOk(reply)) {
     mPath.mFreshness.OnStatus(group, aAction.mMember, ValueOf(reply), askedAt);
--- a/src/libs/daemon/statements/replicationwatch.cpp
+++ b/src/libs/daemon/statements/replicationwatch.cpp
@@ -201,13 +201,13 @@
   for (bool isNeeded = true; isNeeded;) {
     const auto askedAt = mHooks.mNow();
     const auto reply = mReferences.mMembers.WaitForPosition(
-      aCall.mAddress, aCall.mPosition, mSettings.mCallTimeout);
+      aCall.mAddress, aCall.mPosition, PositionReached::Received, mSettings.mCallTimeout);
     LogPosition held;
     if (IsOk(reply)) {
       Deliver(aCall, ValueOf(reply), askedAt);
       // What a member of another term holds does not count.
       const bool counts = ValueOf(reply).term() == aCall.mPosition.mTerm;
-      held = counts ? FromMessage(ValueOf(reply).applied()) : LogPosition{};
+      held = counts ? FromMessage(ValueOf(reply).last()) : LogPosition{};
     }
     const std::lock_guard lock(mMutex);
     isNeeded = ChooseNext(aCall, held);
--- a/src/libs/interfaces/membercontrol.h
+++ b/src/libs/interfaces/membercontrol.h
@@ -10,6 +10,15 @@
 
 namespace papayaspindle {
 
+/** What a wait for a position waits for. */
+enum class PositionReached : std::uint8_t
+{
+  /** The member's log holds the position: enough for an acknowledgement. */
+  Received,
+  /** Reads at the member see the position. */
+  Applied,
+};
+
 /**
  * Control calls to one backend server; they use none of the group's limited connections.
  *
@@ -27,10 +36,12 @@
                                          std::chrono::milliseconds aTimeout) = 0;
   /**
    * @param aPosition position to wait for
-   * @return the member's status once it has applied the position, or at the timeout
+   * @param aReached whether the log must hold it or reads must see it
+   * @return the member's status once it has reached the position, or at the timeout
    */
   virtual Result<v1::StatusReply> WaitForPosition(std::string_view aAddress,
                                                   const LogPosition& aPosition,
+                                                  PositionReached aReached,
                                                   std::chrono::milliseconds aTimeout) = 0;
   virtual Result<v1::RaiseTermReply> RaiseTerm(std::string_view aAddress,
                                                const v1::RaiseTermRequest& aRequest,
--- a/src/libs/transport/grpcmembercontrol.cpp
+++ b/src/libs/transport/grpcmembercontrol.cpp
@@ -49,11 +49,13 @@
 Result<v1::StatusReply>
 GrpcMemberControl::WaitForPosition(std::string_view aAddress,
                                    const LogPosition& aPosition,
+                                   PositionReached aReached,
                                    std::chrono::milliseconds aTimeout)
 {
   const auto margin = std::min(aTimeout / 4, kMaxAnswerMargin);
   v1::WaitForPositionRequest request;
   *request.mutable_position() = ToMessage(aPosition);
+  request.set_received(aReached == PositionReached::Received);
   request.set_timeout_ms(static_cast<std::uint64_t>((aTimeout - margin).count()));
   return Call<v1::StatusReply>(
     mChannels, aAddress, aTimeout, "/papayaspindle.v1.Backend/WaitForPosition", request);
--- a/src/libs/transport/grpcmembercontrol.h
+++ b/src/libs/transport/grpcmembercontrol.h
@@ -15,6 +15,7 @@
                                  std::chrono::milliseconds aTimeout) override;
   Result<v1::StatusReply> WaitForPosition(std::string_view aAddress,
                                           const LogPosition& aPosition,
+                                          PositionReached aReached,
                                           std::chrono::milliseconds aTimeout) override;
   Result<v1::RaiseTermReply> RaiseTerm(std::string_view aAddress,
                                        const v1::RaiseTermRequest& aRequest,
--- a/src/libs/transport/unarycall.h
+++ b/src/libs/transport/unarycall.h
@@ -63,7 +63,8 @@
 
 /**
  * Runs one unary call and waits for its answer for at most the time limit. A channel on
- * which a call timed out is replaced, since its connection may have gone silent.
+ * which a call timed out is replaced, since its connection may have gone silent, and so
+ * is one that could not connect.
  *
  * @param aAddress "ip:port"
  * @param aMethod "/package.Service/Method"
@@ -92,7 +93,9 @@
   if (status.ok()) {
     return reply;
   }
-  if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+  // A channel that could not connect stays in its backoff, which would hide for seconds
+  // that the host has come back; the callers' own intervals pace the attempts.
+  if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED || !sent) {
     aChannels.Replace(aAddress, channel);
   }
   const CallFailure failure = ClassifyFailure(status, sent, settings.mMaxMessageBytes);
--- a/tests/auto/daemon/statements/fakegroup.cpp
+++ b/tests/auto/daemon/statements/fakegroup.cpp
@@ -227,6 +227,7 @@
 Result<v1::StatusReply>
 FakeGroup::WaitForPosition(std::string_view aAddress,
                            const LogPosition&,
+                           PositionReached,
                            std::chrono::milliseconds aTimeout)
 {
   return Status(aAddress, aTimeout);
--- a/tests/auto/daemon/statements/fakegroup.h
+++ b/tests/auto/daemon/statements/fakegroup.h
@@ -104,6 +104,7 @@
                                  std::chrono::milliseconds aTimeout) override;
   Result<v1::StatusReply> WaitForPosition(std::string_view aAddress,
                                           const LogPosition& aPosition,
+                                          PositionReached aReached,
                                           std::chrono::milliseconds aTimeout) override;
   Result<v1::FindRequestReply> FindRequest(std::string_view aAddress,
                                            const v1::FindRequestRequest& aRequest,
--- a/tests/auto/daemon/support/fakemembercontrol.h
+++ b/tests/auto/daemon/support/fakemembercontrol.h
@@ -29,6 +29,7 @@
   papayaspindle::Result<papayaspindle::v1::StatusReply> WaitForPosition(
     std::string_view aAddress,
     const papayaspindle::LogPosition& /*aPosition*/,
+    papayaspindle::PositionReached /*aReached*/,
     std::chrono::milliseconds aTimeout) override
   {
     return Status(aAddress, aTimeout);
--- a/tests/auto/transport/tst_grpcclients.cpp
+++ b/tests/auto/transport/tst_grpcclients.cpp
@@ -302,8 +302,8 @@
 {
   GrpcFixture server;
   GrpcMemberControl control(Settings());
-  const auto reply =
-    control.WaitForPosition(server.Address(), LogPosition{ 3, 7 }, kLong);
+  const auto reply = control.WaitForPosition(
+    server.Address(), LogPosition{ 3, 7 }, PositionReached::Applied, kLong);
   REQUIRE(IsOk(reply));
   CHECK(ValueOf(reply).applied().index() == 7);
   const std::chrono::milliseconds asked(ValueOf(reply).primary_silence_ms());
