Show a home's share of the connections to operators

Cause: groups show printed 0 for floor, lease and queue, and open connections as those in use. The wait for a received position had no test. Change: the connection manager reports its pool; a test of the gRPC client names both kinds of wait.

--- a/src/app/serve/groupreport.cpp
+++ b/src/app/serve/groupreport.cpp
@@ -54,10 +54,16 @@
 }
 
 GroupReportHook
-ReportConnections(ConnectionManager& aConnections)
+ReportConnections(ConnectionManager& aConnections, NowHook aNow)
 {
-  return [&aConnections](const GroupId& aGroup, v1::ShowGroupReply& aReply) {
-    aReply.set_connections_in_use(aConnections.Held(aGroup));
+  return [&aConnections, now = std::move(aNow)](const GroupId& aGroup,
+                                                v1::ShowGroupReply& aReply) {
+    const PoolReport report = aConnections.Report(aGroup);
+    const std::uint32_t usable = report.mAllowance.At(now());
+    aReply.set_allowance_floor(report.mAllowance.mFloor);
+    aReply.set_allowance_leased(usable - report.mAllowance.mFloor);
+    aReply.set_connections_in_use(report.mInUse);
+    aReply.set_queue_depth(static_cast<std::uint32_t>(report.mWaiting));
   };
 }
 
--- a/src/app/serve/groupreport.h
+++ b/src/app/serve/groupreport.h
@@ -19,7 +19,7 @@
  * ReportMembers() */
 GroupReportHook ReportFailovers(const FailoverManager& aFailovers);
 
-/** @return a hook that adds the connections that are open from here */
-GroupReportHook ReportConnections(ConnectionManager& aConnections);
+/** @return a hook that adds this instance's share of the connections and its use */
+GroupReportHook ReportConnections(ConnectionManager& aConnections, NowHook aNow);
 
 } // namespace papayaspindle
--- a/src/app/serve/serviceparts.cpp
+++ b/src/app/serve/serviceparts.cpp
@@ -34,7 +34,7 @@
                  aCommon.mMetrics,
                  { ReportMembers(aCommon.mGroups, aManagers.mFreshness, SystemNow()),
                    ReportFailovers(aManagers.mFailovers),
-                   ReportConnections(aManagers.mConnections) },
+                   ReportConnections(aManagers.mConnections, SystemNow()) },
                  EffectiveSettings(aCommon.mSettings) },
                { aCommon.mOperatorPool, aCommon.mGate, aCommon.mTracer, "operator_call" })
 {
--- a/src/libs/daemon/connections/connectionmanager.cpp
+++ b/src/libs/daemon/connections/connectionmanager.cpp
@@ -347,6 +347,14 @@
   return slot.mPool.Held();
 }
 
+PoolReport
+ConnectionManager::Report(const GroupId& aGroup)
+{
+  PoolSlot& slot = mPrivate->mPools.SlotOf(aGroup);
+  const std::lock_guard lock(slot.mMutex);
+  return { slot.mPool.Allowance(), slot.mPool.Owned(), slot.mPool.Waiting() };
+}
+
 void
 ConnectionManager::Tick()
 {
--- a/src/libs/daemon/connections/connectionmanager.h
+++ b/src/libs/daemon/connections/connectionmanager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/connections/connectionhooks.h"
+#include "daemon/connections/poolreport.h"
 #include "daemon/connections/poolshares.h"
 #include "interfaces/connections.h"
 
@@ -44,6 +45,8 @@
   void SetAllowance(const GroupId& aGroup, const GroupAllowance& aAllowance) override;
   ShareUse TakeUse(const GroupId& aGroup) override;
   std::uint32_t Held(const GroupId& aGroup) override;
+  /** @return the state of the group's pool */
+  PoolReport Report(const GroupId& aGroup);
 
   /** Takes changed settings, ends waits whose deadline has passed, and opens and closes
    * connections; called every 100 ms. */
--- a/src/libs/daemon/connections/grouppool.h
+++ b/src/libs/daemon/connections/grouppool.h
@@ -62,6 +62,7 @@
   [[nodiscard]] std::uint32_t Held() const;
   /** @return connections that have an owner */
   [[nodiscard]] std::uint32_t Owned() const;
+  [[nodiscard]] const GroupAllowance& Allowance() const { return mAllowance; }
   /** @return requests that wait */
   [[nodiscard]] std::size_t Waiting() const;
   /** @return the highest demand since the last call, in connections */
--- a/tests/auto/transport/backendfixture.h
+++ b/tests/auto/transport/backendfixture.h
@@ -37,7 +37,9 @@
                                const v1::WaitForPositionRequest* aRequest,
                                v1::StatusReply* aReply) override
   {
-    *aReply->mutable_applied() = aRequest->position();
+    auto* reached =
+      aRequest->received() ? aReply->mutable_last() : aReply->mutable_applied();
+    *reached = aRequest->position();
     aReply->set_primary_silence_ms(aRequest->timeout_ms());
     return grpc::Status::OK;
   }
--- a/tests/auto/transport/tst_grpcclients.cpp
+++ b/tests/auto/transport/tst_grpcclients.cpp
@@ -297,6 +297,24 @@
   CHECK(ErrorOf(list).mKind == kStore);
 }
 
+// Guards against an acknowledgement that waits until a lagging member has applied a write
+// that its log holds already.
+TEST_CASE("a wait names what the member must have reached", "[transport]")
+{
+  GrpcFixture server;
+  GrpcMemberControl control(Settings());
+  const LogPosition position{ 3, 7 };
+  const auto received =
+    control.WaitForPosition(server.Address(), position, PositionReached::Received, kLong);
+  REQUIRE(IsOk(received));
+  CHECK(ValueOf(received).last().index() == position.mIndex);
+  CHECK_FALSE(ValueOf(received).has_applied());
+  const auto applied =
+    control.WaitForPosition(server.Address(), position, PositionReached::Applied, kLong);
+  REQUIRE(IsOk(applied));
+  CHECK(ValueOf(applied).applied().index() == position.mIndex);
+}
+
 // Guards against an answer that always arrives just after the call's deadline.
 TEST_CASE("a member is asked to answer before the call's deadline", "[transport]")
 {
