Do not wait for a replica that is far behind

Cause: a wait that the member gave up a little before its time limit was taken for a catch-up time below the bound of 20 ms, so each read waited again. Change: a wait in vain counts as twice the bound; a prediction is dropped after a second, so that a replica whose lag has ended is tried again. TLS between instances needs an authority in the settings.

--- a/src/app/settings/settingsreader.cpp
+++ b/src/app/settings/settingsreader.cpp
@@ -210,6 +210,13 @@
                        "both or neither");
     }
   }
+  if (aSettings.mPeerCertificate.empty() != aSettings.mPeerAuthority.empty()) {
+    // Without an authority every peer would be turned away, or none.
+    return ErrorLine("tls.peer_authority",
+                     aSettings.mPeerAuthority,
+                     "peer_certificate and peer_authority do not come together",
+                     "both or neither");
+  }
   if (aSettings.mDrainAnnounce > aSettings.mDrainDeadline) {
     return ErrorLine("drain.announce_ms",
                      std::to_string(aSettings.mDrainAnnounce.count()),
--- a/src/libs/daemon/statements/freshnessboard.cpp
+++ b/src/libs/daemon/statements/freshnessboard.cpp
@@ -32,10 +32,13 @@
 }
 
 void
-FreshnessBoard::OnCatchUp(const GroupId& aGroup, const MemberId& aMember, Duration aTook)
+FreshnessBoard::OnCatchUp(const GroupId& aGroup,
+                          const MemberId& aMember,
+                          Duration aTook,
+                          TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
-  mTables[aGroup].OnCatchUp(aMember, aTook);
+  mTables[aGroup].OnCatchUp(aMember, aTook, aNow);
 }
 
 ReadAction
--- a/src/libs/daemon/statements/freshnessboard.h
+++ b/src/libs/daemon/statements/freshnessboard.h
@@ -35,7 +35,10 @@
   /** Takes what a member's answer to a statement says. */
   void OnAnswer(const GroupId& aGroup, const MemberProgress& aAnswer);
   /** Notes how long a replica took to apply a position after the primary answered. */
-  void OnCatchUp(const GroupId& aGroup, const MemberId& aMember, Duration aTook);
+  void OnCatchUp(const GroupId& aGroup,
+                 const MemberId& aMember,
+                 Duration aTook,
+                 TimePoint aNow);
 
   /** @return the chooser's action for the group of the question */
   [[nodiscard]] ReadAction Choose(const ReadChooser& aChooser,
--- a/src/libs/daemon/statements/readrunner.cpp
+++ b/src/libs/daemon/statements/readrunner.cpp
@@ -218,10 +218,16 @@
   const auto reply = mPath.mMembers.WaitForPosition(
     member->mAddress, aAction.mPosition, PositionReached::Applied, timeout);
   const auto& group = aRequest.mGroup.mGroup;
+  const auto now = mPath.mHooks.mNow();
+  bool isReached = false;
   if (IsOk(reply)) {
     mPath.mFreshness.OnStatus(group, aAction.mMember, ValueOf(reply), askedAt);
+    isReached = FromMessage(ValueOf(reply).applied()) >= aAction.mPosition;
   }
-  mPath.mFreshness.OnCatchUp(group, aAction.mMember, mPath.mHooks.mNow() - askedAt);
+  // The member gives up a little before the time is over. Taking that for its catch-up
+  // time would make every read wait for a replica that is seconds behind.
+  const Duration took = isReached ? now - askedAt : 2 * aAction.mUpTo;
+  mPath.mFreshness.OnCatchUp(group, aAction.mMember, took, now);
 }
 
 } // namespace papayaspindle
--- a/src/libs/daemon/statements/replicationwatch.cpp
+++ b/src/libs/daemon/statements/replicationwatch.cpp
@@ -274,7 +274,7 @@
   }
   mChanged.notify_all();
   if (catchUp) {
-    mReferences.mFreshness.OnCatchUp(group, member, *catchUp);
+    mReferences.mFreshness.OnCatchUp(group, member, *catchUp, mHooks.mNow());
   }
 }
 
--- a/src/libs/decision/routing/freshnesstable.cpp
+++ b/src/libs/decision/routing/freshnesstable.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kMinSampleSpacing = 50ms;
 // Weight of the newest measurement is 1/4: a few slow answers change the prediction.
 constexpr int kSmoothing = 4;
+// One read a second waits in vain for a replica that stays behind.
+constexpr Duration kCatchUpValid = 1s;
 
 /**
  * Entries of the status's own term are never dropped from a log, older ones may be.
@@ -75,10 +77,12 @@
 }
 
 void
-FreshnessTable::OnCatchUp(const MemberId& aMember, Duration aTook)
+FreshnessTable::OnCatchUp(const MemberId& aMember, Duration aTook, TimePoint aNow)
 {
-  auto& catchUp = mMembers[aMember].mCatchUp;
-  catchUp = catchUp ? *catchUp + (aTook - *catchUp) / kSmoothing : aTook;
+  const auto predicted = PredictedCatchUp(aMember, aNow);
+  auto& member = mMembers[aMember];
+  member.mCatchUp = predicted ? *predicted + (aTook - *predicted) / kSmoothing : aTook;
+  member.mCatchUpAt = aNow;
 }
 
 void
@@ -158,10 +162,12 @@
 }
 
 std::optional<Duration>
-FreshnessTable::PredictedCatchUp(const MemberId& aMember) const
+FreshnessTable::PredictedCatchUp(const MemberId& aMember, TimePoint aNow) const
 {
   const auto found = mMembers.find(aMember);
-  return found == mMembers.end() ? std::nullopt : found->second.mCatchUp;
+  const bool isKnown = found != mMembers.end() && found->second.mCatchUp &&
+                       aNow - found->second.mCatchUpAt < kCatchUpValid;
+  return isKnown ? found->second.mCatchUp : std::nullopt;
 }
 
 void
--- a/src/libs/decision/routing/freshnesstable.h
+++ b/src/libs/decision/routing/freshnesstable.h
@@ -32,8 +32,13 @@
    * @param aAnswer mIsLeaving is not read; answers don't tell
    */
   void OnAnswer(MemberProgress aAnswer);
-  /** Notes how long a replica took to apply a position after the primary answered. */
-  void OnCatchUp(const MemberId& aMember, Duration aTook);
+  /**
+   * Notes how long a replica took to apply a position after the primary answered.
+   *
+   * @param aTook time until it had applied it; for a wait that gave up, more than the
+   * wait
+   */
+  void OnCatchUp(const MemberId& aMember, Duration aTook, TimePoint aNow);
   /** Forgets members that the group no longer has. */
   void Retain(const GroupSettings& aSettings);
 
@@ -56,8 +61,10 @@
   /** @return the lowest position whose possession proves a time at or after aSince */
   [[nodiscard]] std::optional<LogPosition>
   PositionProving(TimePoint aSince, std::uint64_t aTerm, std::size_t aMemberCount) const;
-  /** @return smoothed catch-up time of the replica, or nothing before it was measured */
-  [[nodiscard]] std::optional<Duration> PredictedCatchUp(const MemberId& aMember) const;
+  /** @return smoothed catch-up time of the replica, or nothing when it was not measured
+   * in the last second; a replica whose lag has ended is then tried again */
+  [[nodiscard]] std::optional<Duration> PredictedCatchUp(const MemberId& aMember,
+                                                         TimePoint aNow) const;
 
 private:
   struct Sample
@@ -72,6 +79,7 @@
     /** Time of the latest sample that the member has applied, in its status's term. */
     std::optional<TimePoint> mProven;
     std::optional<Duration> mCatchUp;
+    TimePoint mCatchUpAt;
   };
 
   void AddSample(std::uint64_t aTerm, const Sample& aSample);
--- a/src/libs/decision/routing/readchooser.cpp
+++ b/src/libs/decision/routing/readchooser.cpp
@@ -52,7 +52,7 @@
     return std::nullopt;
   }
   for (const auto& replica : aReplicas) {
-    const auto predicted = aFreshness.PredictedCatchUp(replica.mMember);
+    const auto predicted = aFreshness.PredictedCatchUp(replica.mMember, aQuestion.mNow);
     if (predicted.value_or(Duration::zero()) <= aBound) {
       const auto position = std::max(*proving, aQuestion.mSession);
       return WaitForReplica{ replica.mMember, position, aBound };
--- a/tests/auto/app/tst_settings.cpp
+++ b/tests/auto/app/tst_settings.cpp
@@ -103,6 +103,19 @@
   }
 }
 
+// Guards against an instance that shows a certificate to peers but checks none of theirs.
+TEST_CASE("TLS between instances needs an authority", "[app]")
+{
+  const Poco::TemporaryFile pem;
+  std::ofstream(pem.path()) << "pem";
+  const auto read = ReadText(kComplete + "[tls]\npeer_certificate = " + pem.path() +
+                             "\npeer_key = " + pem.path() + "\n");
+  REQUIRE(read.index() == 1);
+  const std::string& line = std::get<SettingsError>(read).mLine;
+  CHECK_THAT(line, Catch::Contains("tls.peer_authority"));
+  CHECK_THAT(line, Catch::Contains("both or neither"));
+}
+
 TEST_CASE("an unreadable file is named", "[app]")
 {
   const auto read = SettingsReader("/nonexistent/papayaspindle.ini").Read();
--- a/tests/auto/routing/tst_freshnesstable.cpp
+++ b/tests/auto/routing/tst_freshnesstable.cpp
@@ -166,11 +166,14 @@
   Feed(table, { { "a", 1, { 1, 5 }, 0 }, { "c", 1, { 1, 5 }, 0 } });
   GroupSettings settings;
   settings.mMembers = { { MemberId("c"), "", AvailabilityZone("z"), false } };
-  table.OnCatchUp(MemberId("c"), 8ms);
-  table.OnCatchUp(MemberId("c"), 16ms);
+  table.OnCatchUp(MemberId("c"), 8ms, kStart);
+  table.OnCatchUp(MemberId("c"), 16ms, kStart);
   table.Retain(settings);
   CHECK(table.Statuses().size() == 1);
   CHECK_FALSE(table.ProvenAsOf(MemberId("c"), 1, 3));
-  CHECK(table.PredictedCatchUp(MemberId("c")) == Duration(10ms));
-  CHECK_FALSE(table.PredictedCatchUp(MemberId("a")));
+  CHECK(table.PredictedCatchUp(MemberId("c"), kStart) == Duration(10ms));
+  CHECK(table.PredictedCatchUp(MemberId("c"), kStart + 999ms) == Duration(10ms));
+  // A replica whose lag has ended must be tried again.
+  CHECK_FALSE(table.PredictedCatchUp(MemberId("c"), kStart + 1s));
+  CHECK_FALSE(table.PredictedCatchUp(MemberId("a"), kStart));
 }
--- a/tests/auto/routing/tst_readchooser.cpp
+++ b/tests/auto/routing/tst_readchooser.cpp
@@ -126,14 +126,14 @@
     { "own zone's replica is predicted to be too slow",
       [&](Scene& aScene) {
         wrote(aScene);
-        aScene.mFreshness.OnCatchUp(kB, 300ms);
+        aScene.mFreshness.OnCatchUp(kB, 300ms, aScene.mQuestion.mNow);
       },
       WaitForReplica{ kC, { 2, 21 }, 20ms } },
     { "every replica is predicted to be too slow",
       [&](Scene& aScene) {
         wrote(aScene);
-        aScene.mFreshness.OnCatchUp(kB, 300ms);
-        aScene.mFreshness.OnCatchUp(kC, 300ms);
+        aScene.mFreshness.OnCatchUp(kB, 300ms, aScene.mQuestion.mNow);
+        aScene.mFreshness.OnCatchUp(kC, 300ms, aScene.mQuestion.mNow);
       },
       fromPrimary },
     { "policy of immediate fallback",
