--- a/src/libs/daemon/statements/statementmanager.cpp
+++ b/src/libs/daemon/statements/statementmanager.cpp
@@ -204,17 +204,15 @@
                                 const Reply& (v1::ForwardReply::*aReply)() const)
 {
   const auto start = mHooks.mNow();
-  auto span = mReferences.mTracer.Start("caller_call", aTraceparent);
   const auto checked = mChecks.Check(aMessage);
   if (!IsOk(checked)) {
-    span.SetError(ErrorOf(checked).mMessage);
     return Refusal<Reply>(ErrorOf(checked));
   }
   ForwardTask task;
   *(task.mMessage.*aField)() = aMessage;
   task.mClass = ClassOf(task.mMessage);
   task.mDeadline = DeadlineOf(aTimeoutMs);
-  task.mTraceparent = span.Traceparent();
+  task.mTraceparent = aTraceparent;
   task.mGroup = ValueOf(checked).mGroup.mGroup;
   if constexpr (requires { aMessage.transaction_id(); }) {
     if (const auto address =
@@ -224,7 +222,6 @@
   }
   auto reply = Dispatch(std::move(task));
   if (!IsOk(reply)) {
-    span.SetError(ErrorOf(reply).mMessage);
     return Refusal<Reply>(ErrorOf(reply));
   }
   auto& served = ValueOf(reply);
