Share the failure of an attempt that may have run

Cause: reads and writes each built the same failure; a pool method had a figurative name. Change: UnknownOutcome in attempt.h; RefuseHopeless is RefuseUnservable. Before and after: 50 tests pass. Conclusion: no change in behaviour.

--- a/src/libs/daemon/connections/grouppool.cpp
+++ b/src/libs/daemon/connections/grouppool.cpp
@@ -143,7 +143,7 @@
   // What is over the allowance is closed before any connection is handed out.
   Plan(aNow, work);
   Dispatch(aNow, work);
-  RefuseHopeless(aNow, work);
+  RefuseUnservable(aNow, work);
   return work;
 }
 
@@ -322,7 +322,7 @@
 }
 
 void
-GroupPool::RefuseHopeless(TimePoint aNow, PoolWork& aWork)
+GroupPool::RefuseUnservable(TimePoint aNow, PoolWork& aWork)
 {
   for (auto& [name, member] : mMembers) {
     Error error{ ErrorKind::MemberUnreachable, "no connection could be opened" };
--- a/src/libs/daemon/connections/grouppool.h
+++ b/src/libs/daemon/connections/grouppool.h
@@ -104,7 +104,7 @@
   void Plan(TimePoint aNow, PoolWork& aWork);
   void CloseIdle(const MemberId& aMember, std::uint32_t aCount, PoolWork& aWork);
   void Dispatch(TimePoint aNow, PoolWork& aWork);
-  void RefuseHopeless(TimePoint aNow, PoolWork& aWork);
+  void RefuseUnservable(TimePoint aNow, PoolWork& aWork);
 
   std::uint32_t mSlots = 0;
   std::uint64_t mRevision = 0;
--- a/src/libs/daemon/statements/attempt.h
+++ b/src/libs/daemon/statements/attempt.h
@@ -24,6 +24,13 @@
   return { aError, KnowledgeOf(aError.mKind) };
 }
 
+/** @return the failure of an attempt that may have run */
+inline AttemptFailure
+UnknownOutcome(const char* aMessage)
+{
+  return FailureOf({ ErrorKind::OutcomeUnknown, aMessage });
+}
+
 /**
  * @param aPolicy policy that was told of every attempt that may be repeated
  * @param aLast error of the last attempt
--- a/src/libs/daemon/statements/readrunner.cpp
+++ b/src/libs/daemon/statements/readrunner.cpp
@@ -1,6 +1,7 @@
 #include "daemon/statements/readrunner.h"
 
 #include "convert/convert.h"
+#include "daemon/statements/attempt.h"
 #include "daemon/statements/freshnessboard.h"
 #include "daemon/statements/memberanswers.h"
 #include "daemon/statements/memberloads.h"
@@ -39,12 +40,6 @@
   return reply;
 }
 
-AttemptFailure
-Unconfirmed(const char* aMessage)
-{
-  return { { ErrorKind::OutcomeUnknown, aMessage }, SendKnowledge::MaybeSent };
-}
-
 } // namespace
 
 ReadRunner::ReadRunner(const DataPath& aPath)
@@ -149,7 +144,7 @@
   // the read may have waited since it was placed.
   const auto position = FromMessage(ValueOf(answer).position());
   if (ValueOf(answer).term() != term || position < question.mSession) {
-    return Unconfirmed("the replica's answer is behind the session");
+    return UnknownOutcome("the replica's answer is behind the session");
   }
   const auto atChoice = question.mNow - aAction.mProvenAge;
   const auto provenAsOf = std::max(
@@ -157,7 +152,7 @@
     atChoice);
   const auto age = std::max(mPath.mHooks.mNow() - provenAsOf, Duration::zero());
   if (age > mChooser.MaxStaleness(question)) {
-    return Unconfirmed("the replica's answer is too old");
+    return UnknownOutcome("the replica's answer is too old");
   }
   if (error) {
     return AttemptFailure{ *error, std::nullopt };
@@ -189,12 +184,12 @@
   }
   const auto position = FromMessage(ValueOf(answer).position());
   if (ValueOf(answer).term() != view.mTerm || position < aPlacement.mQuestion.mSession) {
-    return Unconfirmed("the primary's answer is behind the session");
+    return UnknownOutcome("the primary's answer is behind the session");
   }
   ValueOf(session)->Release();
   if (AwaitConfirmation(mPath, aRequest, view, position) !=
       ReplicationOutcome::Acknowledged) {
-    return Unconfirmed("the primary's answer was not confirmed by a majority");
+    return UnknownOutcome("the primary's answer was not confirmed by a majority");
   }
   if (error) {
     return AttemptFailure{ *error, std::nullopt };
--- a/src/libs/daemon/statements/writerunner.cpp
+++ b/src/libs/daemon/statements/writerunner.cpp
@@ -1,6 +1,7 @@
 #include "daemon/statements/writerunner.h"
 
 #include "convert/convert.h"
+#include "daemon/statements/attempt.h"
 #include "daemon/statements/memberanswers.h"
 #include "daemon/statements/membersession.h"
 #include "daemon/statements/primaryaccess.h"
@@ -12,16 +13,6 @@
 
 namespace papayaspindle {
 
-namespace {
-
-AttemptFailure
-MayHaveRun(const char* aMessage)
-{
-  return { { ErrorKind::OutcomeUnknown, aMessage }, SendKnowledge::MaybeSent };
-}
-
-} // namespace
-
 WriteRunner::WriteRunner(const DataPath& aPath)
   : mPath(aPath)
 {
@@ -84,7 +75,7 @@
   if (!IsOk(answer) && ErrorOf(answer).mKind == ErrorKind::AnswerTooLarge) {
     // It ran, but without its answer there is no position to wait for. The repeat
     // answers without rows.
-    return MayHaveRun("the answer is too large");
+    return UnknownOutcome("the answer is too large");
   }
   if (!IsOk(answer)) {
     return FailureOf(ErrorOf(answer));
@@ -96,7 +87,7 @@
     return failure;
   }
   if (ValueOf(answer).term() != aView.mTerm) {
-    return MayHaveRun("the backend server answered in another term");
+    return UnknownOutcome("the backend server answered in another term");
   }
   // The connection serves others during the wait for replication.
   ValueOf(session)->Release();
@@ -113,13 +104,13 @@
     // What made the statement fail has to be certain, as for a read.
     const auto outcome = AwaitConfirmation(mPath, aRequest, aView, position);
     if (outcome != ReplicationOutcome::Acknowledged) {
-      return MayHaveRun("the failure was not confirmed by a majority");
+      return UnknownOutcome("the failure was not confirmed by a majority");
     }
     return AttemptFailure{ *error, std::nullopt };
   }
   if (AwaitAcknowledgement(mPath, aRequest, aView, position) !=
       ReplicationOutcome::Acknowledged) {
-    return MayHaveRun("the write was not acknowledged by a majority in time");
+    return UnknownOutcome("the write was not acknowledged by a majority in time");
   }
   v1::ExecuteReply reply;
   reply.mutable_rows()->Swap(aAnswer.mutable_rows());
