Share the retry decision and the number of homes

Change: DecisionAfter in attempt.h; HomeRanking::WantedHomes, used by both. Left alone: statementhooks.cpp has a random source beside SystemRandom, because it feeds the owner part of transaction ids and reads the system's device. Conclusion: no change in behaviour.

--- a/src/app/placementbench/placement.cpp
+++ b/src/app/placementbench/placement.cpp
@@ -10,16 +10,9 @@
 
 namespace {
 
-constexpr std::uint32_t kConnectionsPerHome = 4;
 // Capacity of an instance for best fit, as a multiple of the mean load.
 constexpr double kCapacityFactor = 1.25;
 
-std::uint32_t
-HomeCount(const GroupSettings& aGroup)
-{
-  return std::max<std::uint32_t>(aGroup.mConnectionLimit / kConnectionsPerHome, 2);
-}
-
 Placement
 PlaceByRendezvous(const PlacementWorld& aWorld, const std::vector<bool>& aAlive)
 {
@@ -104,8 +97,8 @@
   LoadedInstances instances(aAlive, kCapacityFactor * total / static_cast<double>(live));
   Placement placement(aLoads.size());
   for (const std::uint32_t group : order) {
-    const std::uint32_t count = HomeCount(aWorld.mGroups[group]);
-    const double share = aLoads[group] / count;
+    const std::size_t count = HomeRanking::WantedHomes(aWorld.mGroups[group]);
+    const double share = aLoads[group] / static_cast<double>(count);
     std::vector<std::uint32_t>& homes = placement[group];
     while (homes.size() < count) {
       const std::uint32_t home = instances.Choose(aMethod, share, homes);
--- a/src/libs/daemon/statements/attempt.h
+++ b/src/libs/daemon/statements/attempt.h
@@ -31,6 +31,15 @@
   return FailureOf({ ErrorKind::OutcomeUnknown, aMessage });
 }
 
+/** @return whether and when to try again; never when another attempt cannot help */
+inline RetryDecision
+DecisionAfter(std::optional<SendKnowledge> aKnowledge,
+              RetryPolicy& aPolicy,
+              TimePoint aNow)
+{
+  return aKnowledge ? aPolicy.OnFailure(*aKnowledge, aNow) : RetryDecision();
+}
+
 /**
  * @param aPolicy policy that was told of every attempt that may be repeated
  * @param aLast error of the last attempt
--- a/src/libs/daemon/statements/readrunner.cpp
+++ b/src/libs/daemon/statements/readrunner.cpp
@@ -84,9 +84,7 @@
       return std::move(*reply);
     }
     const auto& failure = std::get<AttemptFailure>(attempt);
-    const auto decision = failure.mKnowledge
-                            ? policy.OnFailure(*failure.mKnowledge, hooks.mNow())
-                            : RetryDecision();
+    const auto decision = DecisionAfter(failure.mKnowledge, policy, hooks.mNow());
     if (!decision.mAgain) {
       return Refusal<v1::ExecuteReply>(FinalError(policy, failure.mError));
     }
--- a/src/libs/daemon/statements/requestforwarder.cpp
+++ b/src/libs/daemon/statements/requestforwarder.cpp
@@ -110,9 +110,7 @@
       if (!error) {
         return reply;
       }
-      const auto knowledge = KnowledgeAtHome(error->mKind);
-      decision =
-        knowledge ? policy.OnFailure(*knowledge, mHooks.mNow()) : RetryDecision();
+      decision = DecisionAfter(KnowledgeAtHome(error->mKind), policy, mHooks.mNow());
       if (!decision.mAgain) {
         const auto final = FinalError(policy, *error);
         const bool keepsReply = IsOk(reply) && final.mKind == error->mKind;
--- a/src/libs/daemon/statements/transactionrunner.cpp
+++ b/src/libs/daemon/statements/transactionrunner.cpp
@@ -83,9 +83,7 @@
       return std::move(*reply);
     }
     const auto& failure = std::get<AttemptFailure>(attempt);
-    const auto decision = failure.mKnowledge
-                            ? policy.OnFailure(*failure.mKnowledge, hooks.mNow())
-                            : RetryDecision();
+    const auto decision = DecisionAfter(failure.mKnowledge, policy, hooks.mNow());
     if (!decision.mAgain) {
       const bool isUnknown = failure.mError.mKind == ErrorKind::OutcomeUnknown;
       return Refusal<v1::BeginReply>(
--- a/src/libs/decision/routing/homeranking.cpp
+++ b/src/libs/decision/routing/homeranking.cpp
@@ -131,6 +131,12 @@
 {
 }
 
+std::size_t
+HomeRanking::WantedHomes(const GroupSettings& aGroup)
+{
+  return std::max<std::size_t>(aGroup.mConnectionLimit / kConnectionsPerHome, kMinHomes);
+}
+
 std::vector<InstanceId>
 HomeRanking::Rank(const GroupSettings& aGroup, std::span<const InstanceInfo> aLive) const
 {
@@ -155,8 +161,7 @@
     const double weight = mWeight ? mWeight(info) : 1.0;
     ranked.push_back({ i, zone, Score(hash, weight), hash });
   }
-  const auto wanted =
-    std::max<std::size_t>(aGroup.mConnectionLimit / kConnectionsPerHome, kMinHomes);
+  const std::size_t wanted = WantedHomes(aGroup);
   const RankOrder ranksBefore(aLive);
   KeepBest(ranked, wanted, zones.size() + 1, ranksBefore);
   SpreadOverZones(ranked);
--- a/src/libs/decision/routing/homeranking.h
+++ b/src/libs/decision/routing/homeranking.h
@@ -3,6 +3,7 @@
 #include "core/groupsettings.h"
 #include "core/instanceinfo.h"
 
+#include <cstddef>
 #include <functional>
 #include <span>
 #include <vector>
@@ -25,6 +26,9 @@
   /** @param aWeight may be empty: all weigh the same */
   explicit HomeRanking(WeightHook aWeight = {});
 
+  /** @return homes of a group when there are enough candidates */
+  [[nodiscard]] static std::size_t WantedHomes(const GroupSettings& aGroup);
+
   /**
    * Candidates are the live instances of the zones with members that do not leave, or all
    * live ones when those zones have none. Each of these zones gets a home when the count
