--- a/cmake/papayaspindle_targets.cmake
+++ b/cmake/papayaspindle_targets.cmake
@@ -1,6 +1,10 @@
-# Warnings are errors in our own code; generated code is built without them.
+# Warnings are errors in CI; generated code is built without them. GCC 12 reports -Wrestrict falsely for
+# std::string concatenation at -O3 (GCC bug 105651).
 function(papayaspindle_compile_options target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wno-missing-field-initializers -Wno-restrict)
+  if(PAPAYASPINDLE_WERROR)
+    target_compile_options(${target} PRIVATE -Werror)
+  endif()
   if(PAPAYASPINDLE_SANITIZE)
     target_compile_options(${target} PUBLIC -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=all)
     target_link_options(${target} PUBLIC -fsanitize=address,undefined)
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,15 +1,19 @@
 #include "commandline/commandline.h"
+#include "platform/serveplatform.h"
+#ifndef PAPAYASPINDLE_PLATFORM_ONLY
 #include "controlbench/controlbench.h"
 #include "ctl/ctl.h"
 #include "experiment/experiment.h"
 #include "placementbench/placementbench.h"
 #include "serve/serve.h"
+#endif
 
 #include <fmt/core.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <cstdlib>
 #include <string_view>
 
 using namespace papayaspindle;
@@ -17,6 +21,7 @@
 namespace {
 
 int RunVersion(int aArgumentCount, char** aArguments);
+int RunInstance(int aArgumentCount, char** aArguments);
 
 /** One verb; its function gets the arguments from the verb on. */
 struct Verb
@@ -27,11 +32,13 @@
 };
 
 constexpr std::array kVerbs{
-  Verb{ "serve", "runs an entry instance", &RunServe },
+  Verb{ "serve", "runs an entry instance", &RunInstance },
+#ifndef PAPAYASPINDLE_PLATFORM_ONLY
   Verb{ "ctl", "calls an entry instance as operator or caller", &RunCtl },
   Verb{ "experiment", "loads entry instances and checks every answer", &RunExperiment },
   Verb{ "control", "measures what the control plane costs a node", &RunControlBench },
   Verb{ "placement", "compares ways to place groups on homes", &RunPlacementBench },
+#endif
   Verb{ "version", "prints the version", &RunVersion },
 };
 
@@ -44,6 +51,24 @@
   }
 }
 
+/** The platform names its settings file in the environment; elsewhere the command line
+ * names an INI file. */
+int
+RunInstance(int aArgumentCount, char** aArguments)
+{
+  const char* platformSettings = std::getenv(platform::kSettingsVariable);
+  if (platformSettings != nullptr && aArgumentCount == 1) {
+    return platform::ServePlatform(platformSettings);
+  }
+#ifdef PAPAYASPINDLE_PLATFORM_ONLY
+  (void)aArguments;
+  fmt::print(stderr, "papayaspindle serve: {} is not set\n", platform::kSettingsVariable);
+  return kExitUsage;
+#else
+  return RunServe(aArgumentCount, aArguments);
+#endif
+}
+
 int
 RunVersion(int aArgumentCount, char** aArguments)
 {
--- /dev/null
+++ b/src/libs/eventloop/eventloop.cpp
@@ -0,0 +1,115 @@
+#include "eventloop/eventloop.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <ctime>
+#include <system_error>
+
+namespace papayaspindle {
+
+namespace {
+
+constexpr int kEventsAtOnce = 64;
+// Descriptors stay below 2^24; the rest of the event's key tells stale events apart.
+constexpr unsigned kDescriptorBits = 24;
+constexpr std::uint64_t kDescriptorMask = (1ULL << kDescriptorBits) - 1;
+
+std::uint64_t
+KeyOf(int aDescriptor, std::uint64_t aGeneration)
+{
+  return (aGeneration << kDescriptorBits) | static_cast<std::uint64_t>(aDescriptor);
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+  : mEpoll(epoll_create1(EPOLL_CLOEXEC))
+{
+  if (mEpoll < 0) {
+    throw std::system_error(errno, std::generic_category(), "epoll_create1");
+  }
+}
+
+EventLoop::~EventLoop()
+{
+  close(mEpoll);
+}
+
+void
+EventLoop::Watch(int aDescriptor, std::uint32_t aEvents, ReadyHook aHook)
+{
+  const std::uint64_t generation = mNextGeneration++;
+  epoll_event event{};
+  event.events = aEvents;
+  event.data.u64 = KeyOf(aDescriptor, generation);
+  if (epoll_ctl(mEpoll, EPOLL_CTL_ADD, aDescriptor, &event) != 0) {
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl add");
+  }
+  mEntries[aDescriptor] = { generation, std::make_shared<ReadyHook>(std::move(aHook)) };
+}
+
+void
+EventLoop::Change(int aDescriptor, std::uint32_t aEvents)
+{
+  const auto found = mEntries.find(aDescriptor);
+  if (found == mEntries.end()) {
+    return;
+  }
+  epoll_event event{};
+  event.events = aEvents;
+  event.data.u64 = KeyOf(aDescriptor, found->second.mGeneration);
+  if (epoll_ctl(mEpoll, EPOLL_CTL_MOD, aDescriptor, &event) != 0) {
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl mod");
+  }
+}
+
+void
+EventLoop::Unwatch(int aDescriptor)
+{
+  if (mEntries.erase(aDescriptor) > 0) {
+    epoll_ctl(mEpoll, EPOLL_CTL_DEL, aDescriptor, nullptr);
+  }
+}
+
+void
+EventLoop::RunOnce(TimePoint aUntil)
+{
+  using std::chrono::milliseconds;
+  const Duration left = aUntil - Now();
+  // Rounds up, so that the time has come when the wait ends.
+  const auto timeout =
+    std::max<std::int64_t>(std::chrono::ceil<milliseconds>(left).count(), 0);
+  std::array<epoll_event, kEventsAtOnce> events{};
+  const int count =
+    epoll_wait(mEpoll, events.data(), kEventsAtOnce, static_cast<int>(timeout));
+  if (count < 0 && errno != EINTR) {
+    throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  }
+  for (int index = 0; index < count; index++) {
+    const epoll_event& event = events[static_cast<std::size_t>(index)];
+    const auto descriptor = static_cast<int>(event.data.u64 & kDescriptorMask);
+    const auto found = mEntries.find(descriptor);
+    if (found == mEntries.end() ||
+        KeyOf(descriptor, found->second.mGeneration) != event.data.u64) {
+      continue;
+    }
+    // The hook may unwatch its own descriptor.
+    const std::shared_ptr<ReadyHook> hook = found->second.mHook;
+    (*hook)(event.events);
+  }
+}
+
+TimePoint
+EventLoop::Now()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/eventloop/streamtable.cpp
@@ -0,0 +1,312 @@
+#include "eventloop/streamtable.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+namespace papayaspindle {
+
+namespace {
+
+constexpr std::size_t kReceiveBytes = 16384;
+// A peer that reads nothing must not fill the memory: several of the largest answers.
+constexpr std::size_t kMaxQueuedBytes = 4U << 20U;
+constexpr int kBacklog = 512;
+constexpr int kProbesBeforeEnd = 3;
+constexpr int kAcceptsAtOnce = 32;
+
+int
+WholeSeconds(Duration aDuration)
+{
+  return static_cast<int>(std::max<std::int64_t>(
+    std::chrono::ceil<std::chrono::seconds>(aDuration).count(), 1));
+}
+
+void
+SetOptions(Poco::Net::StreamSocket& aSocket, const StreamLiveness& aLiveness)
+{
+  aSocket.setBlocking(false);
+  aSocket.setNoDelay(true);
+  aSocket.setKeepAlive(true);
+  aSocket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, WholeSeconds(aLiveness.mProbeAfter));
+  aSocket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, WholeSeconds(aLiveness.mProbeInterval));
+  aSocket.setOption(IPPROTO_TCP, TCP_KEEPCNT, kProbesBeforeEnd);
+  const auto unacknowledged =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLiveness.mUnacknowledged);
+  aSocket.setOption(
+    IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledged.count()));
+}
+
+} // namespace
+
+struct StreamTable::Stream
+{
+  Poco::Net::StreamSocket mSocket;
+  StreamHooks mHooks;
+  std::string mInput;
+  std::string mOutput;
+  bool mIsConnecting = false;
+  bool mIsClosing = false;
+  /** Its owner has closed it: no hook is called any more. */
+  bool mIsMuted = false;
+  bool mIsDirty = false;
+  bool mWaitsToSend = false;
+};
+
+StreamTable::StreamTable(EventLoop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+StreamTable::~StreamTable() = default;
+
+void
+StreamTable::Listen(const std::string& aAddress,
+                    const StreamLiveness& aLiveness,
+                    const StreamHooks& aHooks,
+                    AcceptHook aAccepted)
+{
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress(aAddress), true);
+  socket.listen(kBacklog);
+  socket.setBlocking(false);
+  const std::size_t index = mListeners.size();
+  mListeners.push_back({ socket, aLiveness, aHooks, std::move(aAccepted) });
+  mLoop.Watch(socket.impl()->sockfd(), EPOLLIN, [this, index](std::uint32_t) {
+    OnAcceptable(index);
+  });
+}
+
+void
+StreamTable::OnAcceptable(std::size_t aListener)
+{
+  Listener& listener = mListeners[aListener];
+  for (int count = 0; count < kAcceptsAtOnce; count++) {
+    const int descriptor = accept4(
+      listener.mSocket.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      // Out of descriptors, or the client has left: the next event tries again.
+      return;
+    }
+    // The socket owns its implementation.
+    const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(descriptor));
+    const StreamKey key = Adopt(socket, listener.mLiveness, listener.mHooks, false);
+    listener.mAccepted(key);
+  }
+}
+
+StreamKey
+StreamTable::Connect(const std::string& aAddress,
+                     const StreamLiveness& aLiveness,
+                     const StreamHooks& aHooks)
+{
+  Poco::Net::StreamSocket socket;
+  try {
+    socket.connectNB(Poco::Net::SocketAddress(aAddress));
+    return Adopt(socket, aLiveness, aHooks, true);
+  } catch (const Poco::Exception&) {
+    const StreamKey key = mNextKey++;
+    auto failed = std::make_unique<Stream>();
+    failed->mHooks = aHooks;
+    mStreams.emplace(key, std::move(failed));
+    mFailed.push_back(key);
+    return key;
+  }
+}
+
+StreamKey
+StreamTable::Adopt(Poco::Net::StreamSocket aSocket,
+                   const StreamLiveness& aLiveness,
+                   const StreamHooks& aHooks,
+                   bool aIsConnecting)
+{
+  SetOptions(aSocket, aLiveness);
+  const StreamKey key = mNextKey++;
+  auto stream = std::make_unique<Stream>();
+  stream->mSocket = aSocket;
+  stream->mHooks = aHooks;
+  stream->mIsConnecting = aIsConnecting;
+  stream->mWaitsToSend = aIsConnecting;
+  mStreams.emplace(key, std::move(stream));
+  mLoop.Watch(aSocket.impl()->sockfd(),
+              aIsConnecting ? EPOLLOUT : EPOLLIN,
+              [this, key](std::uint32_t aEvents) { OnReady(key, aEvents); });
+  return key;
+}
+
+void
+StreamTable::OnReady(StreamKey aKey, std::uint32_t aEvents)
+{
+  const auto found = mStreams.find(aKey);
+  if (found == mStreams.end()) {
+    return;
+  }
+  Stream& stream = *found->second;
+  if (stream.mIsConnecting) {
+    if (stream.mSocket.impl()->socketError() != 0 || (aEvents & EPOLLERR) != 0) {
+      End(aKey);
+      return;
+    }
+    stream.mIsConnecting = false;
+    stream.mWaitsToSend = false;
+    mLoop.Change(stream.mSocket.impl()->sockfd(), EPOLLIN);
+    if (stream.mHooks.mConnected) {
+      stream.mHooks.mConnected(aKey);
+    }
+    return;
+  }
+  if ((aEvents & EPOLLOUT) != 0 && !stream.mIsDirty) {
+    stream.mIsDirty = true;
+    mDirty.push_back(aKey);
+  }
+  if ((aEvents & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0) {
+    return;
+  }
+  if (!Receive(aKey, stream)) {
+    End(aKey);
+  }
+}
+
+bool
+StreamTable::Receive(StreamKey aKey, Stream& aStream)
+{
+  std::array<char, kReceiveBytes> bytes;
+  const ssize_t count =
+    recv(aStream.mSocket.impl()->sockfd(), bytes.data(), bytes.size(), 0);
+  if (count < 0) {
+    return errno == EAGAIN || errno == EINTR;
+  }
+  if (count == 0) {
+    return false;
+  }
+  if (aStream.mIsClosing) {
+    return true;
+  }
+  aStream.mInput.append(bytes.data(), static_cast<std::size_t>(count));
+  if (aStream.mHooks.mInput) {
+    // The hook may close the stream; its input stays alive until the end of the turn.
+    aStream.mHooks.mInput(aKey, aStream.mInput);
+  }
+  return true;
+}
+
+void
+StreamTable::Write(StreamKey aStream, std::string_view aBytes)
+{
+  const auto found = mStreams.find(aStream);
+  if (found == mStreams.end()) {
+    return;
+  }
+  Stream& stream = *found->second;
+  if (stream.mOutput.size() + aBytes.size() > kMaxQueuedBytes) {
+    mFailed.push_back(aStream);
+    return;
+  }
+  stream.mOutput += aBytes;
+  if (!stream.mIsDirty) {
+    stream.mIsDirty = true;
+    mDirty.push_back(aStream);
+  }
+}
+
+void
+StreamTable::Close(StreamKey aStream)
+{
+  const auto found = mStreams.find(aStream);
+  if (found == mStreams.end()) {
+    return;
+  }
+  mLoop.Unwatch(found->second->mSocket.impl()->sockfd());
+  found->second->mIsClosing = true;
+  found->second->mIsMuted = true;
+  mFailed.push_back(aStream);
+}
+
+void
+StreamTable::CloseAfterFlush(StreamKey aStream)
+{
+  const auto found = mStreams.find(aStream);
+  if (found == mStreams.end()) {
+    return;
+  }
+  Stream& stream = *found->second;
+  stream.mIsClosing = true;
+  stream.mIsMuted = true;
+  if (!stream.mIsDirty) {
+    stream.mIsDirty = true;
+    mDirty.push_back(aStream);
+  }
+}
+
+bool
+StreamTable::SendQueued(Stream& aStream)
+{
+  if (!aStream.mOutput.empty()) {
+    const ssize_t count = send(aStream.mSocket.impl()->sockfd(),
+                               aStream.mOutput.data(),
+                               aStream.mOutput.size(),
+                               MSG_NOSIGNAL);
+    if (count < 0 && errno != EAGAIN && errno != EINTR) {
+      return false;
+    }
+    aStream.mOutput.erase(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+  }
+  const bool waits = !aStream.mOutput.empty();
+  if (waits != aStream.mWaitsToSend) {
+    aStream.mWaitsToSend = waits;
+    mLoop.Change(aStream.mSocket.impl()->sockfd(), waits ? EPOLLIN | EPOLLOUT : EPOLLIN);
+  }
+  return waits || !aStream.mIsClosing;
+}
+
+void
+StreamTable::Flush()
+{
+  // Ended hooks may write to other streams.
+  while (!mDirty.empty() || !mFailed.empty()) {
+    const std::vector<StreamKey> dirty = std::move(mDirty);
+    mDirty.clear();
+    for (const StreamKey key : dirty) {
+      const auto found = mStreams.find(key);
+      if (found == mStreams.end()) {
+        continue;
+      }
+      found->second->mIsDirty = false;
+      if (!found->second->mIsConnecting && !SendQueued(*found->second)) {
+        mFailed.push_back(key);
+      }
+    }
+    const std::vector<StreamKey> failed = std::move(mFailed);
+    mFailed.clear();
+    for (const StreamKey key : failed) {
+      End(key);
+    }
+  }
+}
+
+void
+StreamTable::End(StreamKey aKey)
+{
+  const auto found = mStreams.find(aKey);
+  if (found == mStreams.end()) {
+    return;
+  }
+  const std::unique_ptr<Stream> stream = std::move(found->second);
+  mStreams.erase(found);
+  mLoop.Unwatch(stream->mSocket.impl()->sockfd());
+  stream->mSocket.close();
+  if (stream->mHooks.mEnded && !stream->mIsMuted) {
+    stream->mHooks.mEnded(aKey);
+  }
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/proxy/group.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "proxy/positionsamples.h"
+#include "proxy/proxyconfiguration.h"
+#include "proxy/session.h"
+
+#include <string>
+#include <vector>
+
+namespace papayaspindle::proxy {
+
+/** Age after which a position sample is dropped; above any staleness in use. */
+constexpr Duration kSampleWindow = std::chrono::seconds(15);
+
+/** A database group as this instance sees it. */
+struct Group
+{
+  GroupLimits mLimits;
+  std::vector<std::string> mMembers;
+  PositionSamples mSamples{ kSampleWindow };
+  /** Operations that wait for a connection, in the order of their arrival. */
+  std::vector<OperationKey> mWaiting;
+  /** When a read with a bounded age was last asked for. */
+  TimePoint mLastBoundedRead;
+  /** Member that last proved to lead. */
+  std::string mProvenPrimary;
+  TimePoint mProvenAt;
+  /** When the instance last looked for a leader among all members. */
+  TimePoint mLastLeaderSearch;
+  /** When a sample was last asked for. */
+  TimePoint mLastSampleAsked;
+};
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/proxycore.cpp
@@ -0,0 +1,309 @@
+#include "proxy/proxycore.h"
+
+#include "proxy/proxytimes.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace papayaspindle::proxy {
+
+ProxyCore::ProxyCore(const ProxySettings& aSettings, ProxyHooks aHooks)
+  : mSettings(aSettings)
+  , mHooks(std::move(aHooks))
+{
+}
+
+void
+ProxyCore::OnConfiguration(const ProxyConfiguration& aConfiguration, TimePoint aNow)
+{
+  if (aConfiguration.mVersion <= mConfiguration.mVersion) {
+    return;
+  }
+  mHooks.mLog(LogLevel::Info,
+              "configuration_applied",
+              { { "version", std::to_string(aConfiguration.mVersion) },
+                { "previous", std::to_string(mConfiguration.mVersion) },
+                { "routes", std::to_string(aConfiguration.mRoutes.size()) } });
+  mConfiguration = aConfiguration;
+  for (const auto& [name, limits] : mConfiguration.mGroups) {
+    mGroups[name].mLimits = limits;
+  }
+  for (auto& [name, group] : mGroups) {
+    Dispatch(group, aNow);
+  }
+}
+
+void
+ProxyCore::OnDirectory(std::span<const MemberEntry> aEntries, TimePoint aNow)
+{
+  std::set<std::string_view> listed;
+  for (const MemberEntry& entry : aEntries) {
+    listed.insert(entry.mId);
+    Member& member = mMembers[entry.mId];
+    const bool isNew = member.mEntry.mId.empty();
+    const bool isRestarted = !isNew && member.mEntry.mStartedAtMs != entry.mStartedAtMs;
+    const bool isMoved = !isNew && member.mEntry.mAddress != entry.mAddress;
+    const bool wasPrimary = !isNew && member.mEntry.mRole == MemberRole::Primary;
+    if (isNew || !(member.mEntry == entry) || !member.mIsListed) {
+      mHooks.mLog(
+        LogLevel::Info,
+        "member_changed",
+        { { "member", entry.mId },
+          { "group", entry.mGroup },
+          { "zone", entry.mZone },
+          { "role", entry.mRole == MemberRole::Primary ? "primary" : "replica" },
+          { "draining", entry.mDraining ? "yes" : "no" },
+          { "revision", std::to_string(entry.mRevision) } });
+    }
+    if (entry.mRole == MemberRole::Primary) {
+      if (!wasPrimary || isRestarted) {
+        member.mPrimarySince = entry.mRevision;
+        member.mNotLeadingUntil = {};
+      }
+    } else {
+      member.mPrimarySince = 0;
+    }
+    if (isNew || member.mEntry.mRevision != entry.mRevision) {
+      member.mIsMisrouted = false;
+    }
+    if (isRestarted || isMoved) {
+      member.mOpenAfter = aNow;
+      member.mOpenBackoff = {};
+      member.mLaggingUntil = {};
+      member.mPosition.reset();
+    }
+    if (!entry.mDraining) {
+      member.mDrainingSince.reset();
+    } else if (!member.mDrainingSince) {
+      member.mDrainingSince = aNow;
+    }
+    member.mEntry = entry;
+    member.mIsListed = true;
+    std::vector<std::string>& members = mGroups[entry.mGroup].mMembers;
+    if (std::find(members.begin(), members.end(), entry.mId) == members.end()) {
+      members.push_back(entry.mId);
+    }
+  }
+  for (auto& [id, member] : mMembers) {
+    if (member.mIsListed && !listed.contains(id)) {
+      member.mIsListed = false;
+      member.mPrimarySince = 0;
+      mHooks.mLog(LogLevel::Info,
+                  "member_gone",
+                  { { "member", id }, { "group", member.mEntry.mGroup } });
+    }
+  }
+  for (auto& [name, group] : mGroups) {
+    Dispatch(group, aNow);
+  }
+}
+
+void
+ProxyCore::SetInstanceCount(std::uint32_t aCount)
+{
+  mInstanceCount = std::max<std::uint32_t>(aCount, 1);
+}
+
+void
+ProxyCore::StartDrain(TimePoint aNow)
+{
+  if (mDrainStart) {
+    return;
+  }
+  mDrainStart = aNow;
+  mHooks.mLog(LogLevel::Info,
+              "drain_started",
+              { { "sessions", std::to_string(mSessions.size()) } });
+}
+
+TimePoint
+ProxyCore::NextTimer() const
+{
+  if (mOperationTimers.empty()) {
+    return mNextMaintenance;
+  }
+  return std::min(mNextMaintenance, mOperationTimers.begin()->first);
+}
+
+void
+ProxyCore::OnTimer(TimePoint aNow)
+{
+  while (!mOperationTimers.empty() && mOperationTimers.begin()->first <= aNow) {
+    const OperationKey key = mOperationTimers.begin()->second;
+    mOperationTimers.erase(mOperationTimers.begin());
+    OnOperationTimer(key, aNow);
+  }
+  if (aNow < mNextMaintenance) {
+    return;
+  }
+  mNextMaintenance = aNow + kMaintenanceInterval;
+  CheckSilentConnections(aNow);
+  MaintainPools(aNow);
+  MaintainSamples(aNow);
+  RunStatusQueries(aNow);
+  MaintainSessions(aNow);
+  for (auto& [name, group] : mGroups) {
+    Dispatch(group, aNow);
+  }
+}
+
+void
+ProxyCore::MaintainSessions(TimePoint aNow)
+{
+  std::vector<SessionKey> idle;
+  for (auto& [key, session] : mSessions) {
+    const bool rests = session.mState == TransactionState::Open && !session.mOperation &&
+                       session.mTransaction->mConnection;
+    if (rests && aNow - session.mLastActivity > mConfiguration.mTransactionIdle) {
+      AbortTransaction(key, session, "transaction idle too long", aNow);
+    }
+    if (mDrainStart) {
+      idle.push_back(key);
+    }
+  }
+  for (const SessionKey key : idle) {
+    CloseWhenDraining(key, aNow);
+  }
+}
+
+std::vector<std::string>
+ProxyCore::GroupNames() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, group] : mGroups) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+PrimaryHealth
+ProxyCore::PrimaryOf(std::string_view aGroup, TimePoint aNow) const
+{
+  PrimaryHealth health;
+  const Group* group = FindGroup(aGroup);
+  if (group == nullptr) {
+    return health;
+  }
+  const Member* claimant = nullptr;
+  for (const std::string& id : group->mMembers) {
+    const auto found = mMembers.find(id);
+    const Member& member = found->second;
+    if (member.mPrimarySince > 0 &&
+        (claimant == nullptr || member.mPrimarySince > claimant->mPrimarySince)) {
+      claimant = &member;
+    }
+  }
+  if (const Member* leading = PrimaryMember(*group, aNow)) {
+    claimant = leading;
+  }
+  if (claimant == nullptr) {
+    return health;
+  }
+  health.mMember = claimant->mEntry.mId;
+  health.mIsDraining = claimant->mEntry.mDraining;
+  health.mIsListed = claimant->mIsListed;
+  health.mDownSince = claimant->mUnreachableSince;
+  return health;
+}
+
+std::vector<MemberEntry>
+ProxyCore::ReplicasOf(std::string_view aGroup) const
+{
+  std::vector<MemberEntry> replicas;
+  if (const Group* group = FindGroup(aGroup)) {
+    for (const std::string& id : group->mMembers) {
+      const Member& member = mMembers.find(id)->second;
+      if (member.mIsListed && member.mPrimarySince == 0) {
+        replicas.push_back(member.mEntry);
+      }
+    }
+  }
+  return replicas;
+}
+
+std::uint64_t
+ProxyCore::NewestTerm(std::string_view aGroup) const
+{
+  std::uint64_t term = 0;
+  if (const Group* group = FindGroup(aGroup)) {
+    for (const std::string& id : group->mMembers) {
+      const Member& member = mMembers.find(id)->second;
+      term = std::max(term, member.mPosition ? member.mPosition->mTerm : 0);
+    }
+  }
+  return term;
+}
+
+void
+ProxyCore::ExpectPrimary(std::string_view aGroup, std::string_view aMember, TimePoint)
+{
+  mHooks.mLog(LogLevel::Info,
+              "primary_expected",
+              { { "group", std::string(aGroup) }, { "member", std::string(aMember) } });
+  if (Member* member = FindMember(aMember)) {
+    member->mNotLeadingUntil = {};
+  }
+}
+
+Group*
+ProxyCore::FindGroup(std::string_view aName)
+{
+  const auto found = mGroups.find(aName);
+  return found == mGroups.end() ? nullptr : &found->second;
+}
+
+const Group*
+ProxyCore::FindGroup(std::string_view aName) const
+{
+  const auto found = mGroups.find(aName);
+  return found == mGroups.end() ? nullptr : &found->second;
+}
+
+Member*
+ProxyCore::FindMember(std::string_view aId)
+{
+  const auto found = mMembers.find(aId);
+  return found == mMembers.end() ? nullptr : &found->second;
+}
+
+bool
+ProxyCore::IsUsable(const Member& aMember) const
+{
+  return aMember.mIsListed && !aMember.mIsMisrouted;
+}
+
+const Member*
+ProxyCore::PrimaryMember(const Group& aGroup, TimePoint aNow) const
+{
+  // A recent proof counts more than the directory, which lags.
+  if (aNow - aGroup.mProvenAt < kProofLasts) {
+    const auto proven = mMembers.find(aGroup.mProvenPrimary);
+    if (proven != mMembers.end() && IsUsable(proven->second) &&
+        proven->second.mNotLeadingUntil <= aNow) {
+      return &proven->second;
+    }
+  }
+  const Member* primary = nullptr;
+  for (const std::string& id : aGroup.mMembers) {
+    const Member& member = mMembers.find(id)->second;
+    if (member.mPrimarySince > 0 && IsUsable(member) && member.mNotLeadingUntil <= aNow &&
+        (primary == nullptr || member.mPrimarySince > primary->mPrimarySince)) {
+      primary = &member;
+    }
+  }
+  return primary;
+}
+
+std::string
+ProxyCore::PreparedName(PreparedKind aKind, const std::string& aShape)
+{
+  const auto [entry, isNew] =
+    mPreparedNames.try_emplace({ aKind, aShape }, std::string());
+  if (isNew) {
+    entry->second = fmt::format("q{}", mPreparedNames.size());
+  }
+  return entry->second;
+}
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/proxycore.h
@@ -0,0 +1,262 @@
+#pragma once
+
+#include "proxy/group.h"
+#include "proxy/member.h"
+#include "proxy/operation.h"
+#include "proxy/poolconnection.h"
+#include "proxy/proxyhooks.h"
+#include "proxy/proxysettings.h"
+#include "proxy/session.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace papayaspindle::proxy {
+
+/** What this instance knows of a group's primary. */
+struct PrimaryHealth
+{
+  /** Empty when no member calls itself primary. */
+  std::string mMember;
+  bool mIsDraining = false;
+  /** In the directory. */
+  bool mIsListed = false;
+  /** Since when the member can't be reached, or refuses to lead. */
+  std::optional<TimePoint> mDownSince;
+};
+
+/** Receives the answer to a status command, or nothing when there was none. */
+using StatusHook = std::function<void(const std::optional<MemberReply>&)>;
+
+/**
+ * The data path: sessions, operations and member connections.
+ *
+ * Takes events with their time, and acts through its hooks. Single-threaded.
+ */
+class ProxyCore
+{
+public:
+  ProxyCore(const ProxySettings& aSettings, ProxyHooks aHooks);
+
+  // Clients
+
+  void OnSessionOpened(SessionKey aSession, std::string_view aDatabase, TimePoint aNow);
+  void OnStatement(SessionKey aSession, Statement aStatement, TimePoint aNow);
+  /** The client has closed or lost its connection. */
+  void OnSessionClosed(SessionKey aSession, TimePoint aNow);
+
+  // Members
+
+  void OnConnectionReady(ConnectionKey aConnection,
+                         const std::optional<LogPosition>& aPosition,
+                         TimePoint aNow);
+  /** The member has answered the opening with an error. */
+  void OnConnectionRefused(ConnectionKey aConnection, AnswerCode aCode, TimePoint aNow);
+  /** The connection has ended, or could not be opened. */
+  void OnConnectionFailed(ConnectionKey aConnection, TimePoint aNow);
+  void OnReply(ConnectionKey aConnection, MemberReply aReply, TimePoint aNow);
+
+  // Control
+
+  /** Takes a newer version; an older one is ignored. */
+  void OnConfiguration(const ProxyConfiguration& aConfiguration, TimePoint aNow);
+  /** Takes all members that the directory lists now. */
+  void OnDirectory(std::span<const MemberEntry> aEntries, TimePoint aNow);
+  /** @param aCount instances that share the members' connections, this one included */
+  void SetInstanceCount(std::uint32_t aCount);
+  /** Stops in the order that the grace allows. */
+  void StartDrain(TimePoint aNow);
+  void OnTimer(TimePoint aNow);
+
+  /** @return when OnTimer is due */
+  [[nodiscard]] TimePoint NextTimer() const;
+  [[nodiscard]] bool HasConfiguration() const { return mConfiguration.mVersion > 0; }
+  [[nodiscard]] bool IsDraining() const { return mDrainStart.has_value(); }
+  [[nodiscard]] bool IsDrained() const { return IsDraining() && mSessions.empty(); }
+  [[nodiscard]] const ProxyConfiguration& Configuration() const { return mConfiguration; }
+  [[nodiscard]] std::vector<std::string> GroupNames() const;
+  [[nodiscard]] PrimaryHealth PrimaryOf(std::string_view aGroup, TimePoint aNow) const;
+  /** @return listed members of the group that are no primary */
+  [[nodiscard]] std::vector<MemberEntry> ReplicasOf(std::string_view aGroup) const;
+  /** @return newest term seen in the group's positions */
+  [[nodiscard]] std::uint64_t NewestTerm(std::string_view aGroup) const;
+
+  /**
+   * Sends a status command to a member on a connection of the pool.
+   *
+   * @param aHook called once, at the latest after aTimeout
+   */
+  void QueryStatus(std::string_view aMember,
+                   const MemberCommand& aCommand,
+                   Duration aTimeout,
+                   TimePoint aNow,
+                   StatusHook aHook);
+  /** Notes that a promotion of the member was accepted by the platform. */
+  void ExpectPrimary(std::string_view aGroup, std::string_view aMember, TimePoint aNow);
+
+private:
+  struct StatusQuery
+  {
+    std::string mMember;
+    MemberCommand mCommand;
+    TimePoint mDeadline;
+    StatusHook mHook;
+    std::optional<ConnectionKey> mConnection;
+  };
+
+  // proxycore_sessions.cpp
+  void Handle(SessionKey aKey, Session& aSession, Statement aStatement, TimePoint aNow);
+  void HandleLocal(SessionKey aKey, Session& aSession, const Statement& aStatement);
+  void HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite, TimePoint aNow);
+  void HandleRollback(SessionKey aKey, Session& aSession, TimePoint aNow);
+  void HandleFailedState(SessionKey aKey, Session& aSession, const Statement& aStatement);
+  void StartOperation(SessionKey aKey,
+                      Session& aSession,
+                      Statement aStatement,
+                      TimePoint aNow);
+  void Answer(SessionKey aKey, Session& aSession, ClientAnswer aAnswer);
+  void AnswerError(SessionKey aKey,
+                   Session& aSession,
+                   AnswerCode aCode,
+                   std::string_view aText);
+  void AnswerDone(SessionKey aKey, Session& aSession);
+  void RunBacklog(SessionKey aKey, TimePoint aNow);
+  void CloseWhenDraining(SessionKey aKey, TimePoint aNow);
+  /** Ends the session's hold on its transaction's connection. */
+  void ReleaseTransaction(Session& aSession, TimePoint aNow);
+  void AbortTransaction(SessionKey aKey,
+                        Session& aSession,
+                        std::string_view aWhy,
+                        TimePoint aNow);
+
+  // proxycore_operations.cpp
+  void Dispatch(Group& aGroup, TimePoint aNow);
+  bool TryStart(OperationKey aKey, Operation& aOperation, Group& aGroup, TimePoint aNow);
+  bool TryPrimary(OperationKey aKey,
+                  Operation& aOperation,
+                  Group& aGroup,
+                  TimePoint aNow);
+  bool UseIdle(OperationKey aKey,
+               Operation& aOperation,
+               Member& aMember,
+               const std::optional<LogPosition>& aAfter,
+               TimePoint aNow);
+  void SearchLeader(Group& aGroup, TimePoint aNow);
+  std::vector<Member*> ReadCandidates(const Operation& aOperation,
+                                      const Group& aGroup,
+                                      TimePoint aNow);
+  void Launch(OperationKey aKey,
+              Operation& aOperation,
+              ConnectionKey aConnection,
+              const std::optional<LogPosition>& aAfter,
+              TimePoint aNow);
+  void SendStatement(Operation& aOperation,
+                     const std::optional<LogPosition>& aAfter,
+                     bool aWithRollback,
+                     TimePoint aNow);
+  /** @param aPause time before the next attempt */
+  void Requeue(OperationKey aKey, Operation& aOperation, Duration aPause, TimePoint aNow);
+  void LeaveFlight(Operation& aOperation);
+  [[nodiscard]] TimePoint WaitLimit(const Operation& aOperation) const;
+  void FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow);
+  void FailOperation(OperationKey aKey,
+                     AnswerCode aCode,
+                     std::string_view aWhy,
+                     TimePoint aNow);
+  void OnOperationTimer(OperationKey aKey, TimePoint aNow);
+  void ScheduleOperation(OperationKey aKey, TimePoint aAt);
+  void RemoveOperation(OperationKey aKey);
+  [[nodiscard]] std::optional<LogPosition> RequiredPosition(const Operation& aOperation,
+                                                            const Group& aGroup,
+                                                            TimePoint aNow,
+                                                            bool& aIsProven) const;
+
+  // proxycore_replies.cpp
+  void OnBeginReply(ConnectionKey aKey, const MemberReply& aReply, TimePoint aNow);
+  void OnStatementReply(ConnectionKey aKey,
+                        const OutstandingCommand& aCommand,
+                        MemberReply aReply,
+                        TimePoint aNow);
+  void OnTransactionError(OperationKey aKey,
+                          Operation& aOperation,
+                          const MemberReply& aReply,
+                          TimePoint aNow);
+  void OnSingleError(OperationKey aKey,
+                     Operation& aOperation,
+                     const MemberReply& aReply,
+                     TimePoint aNow);
+  void NoteRefusal(Operation& aOperation, AnswerCode aCode, TimePoint aNow);
+  void NoteNotLeading(Member& aMember, TimePoint aNow);
+  void FinishSuccess(ConnectionKey aConnection,
+                     OperationKey aKey,
+                     MemberReply aReply,
+                     TimePoint aNow);
+  void LoseOperation(OperationKey aKey, std::string_view aWhy, TimePoint aNow);
+  void LoseSession(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow);
+  void OnStatusReply(ConnectionKey aKey, const MemberReply& aReply, TimePoint aNow);
+  [[nodiscard]] bool InTransaction(const Operation& aOperation) const;
+  void LearnPosition(const PoolConnection& aConnection,
+                     const OutstandingCommand& aCommand,
+                     const MemberReply& aReply,
+                     TimePoint aNow);
+
+  // proxycore_connections.cpp
+  /** @return connections to a member that this instance may always hold */
+  [[nodiscard]] std::uint32_t BaseShare(const Group& aGroup) const;
+  bool MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const;
+  void Open(Member& aMember, TimePoint aNow);
+  void Send(ConnectionKey aKey,
+            PoolConnection& aConnection,
+            std::span<const MemberCommand> aCommands,
+            TimePoint aNow);
+  /** Returns the connection to its pool, after a rollback if it is in a transaction. */
+  void Release(ConnectionKey aKey, bool aNeedsRollback, TimePoint aNow);
+  void Discard(ConnectionKey aKey, TimePoint aNow);
+  void MakeIdle(ConnectionKey aKey, PoolConnection& aConnection, TimePoint aNow);
+  std::vector<MemberCommand> Prelude(const Session& aSession,
+                                     PoolConnection& aConnection,
+                                     const Statement& aStatement);
+  ConnectionKey TakeIdle(Member& aMember, const Session& aSession);
+  void MaintainPools(TimePoint aNow);
+  void CheckSilentConnections(TimePoint aNow);
+  void Sample(Member& aMember, ConnectionKey aConnection, TimePoint aNow);
+  void MaintainSamples(TimePoint aNow);
+  void RunStatusQueries(TimePoint aNow);
+  void FinishStatusQuery(std::size_t aIndex, const std::optional<MemberReply>& aReply);
+
+  // proxycore.cpp
+  void MaintainSessions(TimePoint aNow);
+  Group* FindGroup(std::string_view aName);
+  [[nodiscard]] const Group* FindGroup(std::string_view aName) const;
+  Member* FindMember(std::string_view aId);
+  [[nodiscard]] const Member* PrimaryMember(const Group& aGroup, TimePoint aNow) const;
+  [[nodiscard]] bool IsUsable(const Member& aMember) const;
+  std::string PreparedName(PreparedKind aKind, const std::string& aShape);
+
+  ProxySettings mSettings;
+  ProxyHooks mHooks;
+  ProxyConfiguration mConfiguration;
+  std::map<std::string, Group, std::less<>> mGroups;
+  std::map<std::string, Member, std::less<>> mMembers;
+  std::unordered_map<SessionKey, Session> mSessions;
+  std::unordered_map<OperationKey, Operation> mOperations;
+  std::unordered_map<ConnectionKey, PoolConnection> mConnections;
+  std::set<std::pair<TimePoint, OperationKey>> mOperationTimers;
+  std::vector<StatusQuery> mStatusQueries;
+  std::map<std::pair<PreparedKind, std::string>, std::string> mPreparedNames;
+  OperationKey mNextOperation = 1;
+  ConnectionKey mNextConnection = 1;
+  std::uint32_t mInstanceCount = 1;
+  TimePoint mNextMaintenance;
+  std::optional<TimePoint> mDrainStart;
+};
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -0,0 +1,440 @@
+#include "proxy/proxycore.h"
+
+#include "proxy/proxytimes.h"
+
+#include <algorithm>
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+std::string
+MillisecondText(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+} // namespace
+
+TimePoint
+ProxyCore::WaitLimit(const Operation& aOperation) const
+{
+  return aOperation.mArrivedAt + std::chrono::duration_cast<Duration>(
+                                   aOperation.mRoute.mStatementTimeout * kWaitShare);
+}
+
+void
+ProxyCore::ScheduleOperation(OperationKey aKey, TimePoint aAt)
+{
+  mOperationTimers.emplace(aAt, aKey);
+}
+
+void
+ProxyCore::Dispatch(Group& aGroup, TimePoint aNow)
+{
+  if (aGroup.mWaiting.empty()) {
+    return;
+  }
+  // An operation that finds no connection blocks the later ones of its sort only.
+  bool isPrimaryBlocked = false;
+  bool areReadsBlocked = false;
+  const std::vector<OperationKey> waiting = aGroup.mWaiting;
+  for (const OperationKey key : waiting) {
+    const auto found = mOperations.find(key);
+    if (found == mOperations.end()) {
+      continue;
+    }
+    Operation& operation = found->second;
+    bool& isBlocked = operation.mNeedsPrimary ? isPrimaryBlocked : areReadsBlocked;
+    if (operation.mStage != OperationStage::Waiting || operation.mRetryAt > aNow ||
+        isBlocked) {
+      continue;
+    }
+    if (TryStart(key, operation, aGroup, aNow)) {
+      std::erase(aGroup.mWaiting, key);
+    } else if (operation.mRefusedBy.empty()) {
+      isBlocked = true;
+    }
+  }
+}
+
+std::optional<LogPosition>
+ProxyCore::RequiredPosition(const Operation& aOperation,
+                            const Group& aGroup,
+                            TimePoint aNow,
+                            bool& aIsProven) const
+{
+  const std::optional<LogPosition> proof =
+    aGroup.mSamples.ProofOf(aNow - aOperation.mRoute.mMaxStaleness);
+  aIsProven = proof.has_value();
+  if (!proof || aOperation.mRoute.mConsistency != Consistency::ReadYourWrites) {
+    return proof;
+  }
+  const Session& session = mSessions.at(aOperation.mSession);
+  if (!session.mLastCommit) {
+    return proof;
+  }
+  // A commit of an older term is either below the first position of the newer one, or was
+  // rolled back by the promotion.
+  const std::optional<LogPosition> newerTerm =
+    aGroup.mSamples.FirstAfterTerm(session.mLastCommit->mTerm);
+  return std::max(*proof, newerTerm.value_or(*session.mLastCommit));
+}
+
+bool
+ProxyCore::TryStart(OperationKey aKey,
+                    Operation& aOperation,
+                    Group& aGroup,
+                    TimePoint aNow)
+{
+  if (aOperation.mNeedsPrimary) {
+    return TryPrimary(aKey, aOperation, aGroup, aNow);
+  }
+  bool isProven = false;
+  const std::optional<LogPosition> after =
+    RequiredPosition(aOperation, aGroup, aNow, isProven);
+  // Without a sample that is young enough, only a read that proves the lead is fresh.
+  aOperation.mIsWrapped = !isProven;
+  if (!isProven) {
+    return TryPrimary(aKey, aOperation, aGroup, aNow);
+  }
+  const std::vector<Member*> candidates = ReadCandidates(aOperation, aGroup, aNow);
+  for (Member* member : candidates) {
+    if (UseIdle(aKey, aOperation, *member, after, aNow)) {
+      return true;
+    }
+  }
+  for (Member* member : candidates) {
+    if (member->mOpening == 0 && MayOpen(*member, aGroup, aNow)) {
+      Open(*member, aNow);
+      break;
+    }
+  }
+  if (candidates.empty() && !aOperation.mRefusedBy.empty()) {
+    aOperation.mRefusedBy.clear();
+    aOperation.mRetryAt = aNow + kRetryPause;
+    ScheduleOperation(aKey, aOperation.mRetryAt);
+  }
+  return false;
+}
+
+bool
+ProxyCore::TryPrimary(OperationKey aKey,
+                      Operation& aOperation,
+                      Group& aGroup,
+                      TimePoint aNow)
+{
+  const Member* known = PrimaryMember(aGroup, aNow);
+  if (known == nullptr) {
+    SearchLeader(aGroup, aNow);
+    return false;
+  }
+  Member& primary = mMembers.find(known->mEntry.mId)->second;
+  if (primary.mDrainingSince && aNow - *primary.mDrainingSince > kDrainingPrimaryUse) {
+    return false;
+  }
+  if (UseIdle(aKey, aOperation, primary, std::nullopt, aNow)) {
+    return true;
+  }
+  if (MayOpen(primary, aGroup, aNow)) {
+    Open(primary, aNow);
+  }
+  return false;
+}
+
+void
+ProxyCore::SearchLeader(Group& aGroup, TimePoint aNow)
+{
+  if (aNow - aGroup.mLastLeaderSearch < kLeaderSearchInterval) {
+    return;
+  }
+  aGroup.mLastLeaderSearch = aNow;
+  for (const std::string& id : aGroup.mMembers) {
+    Member& member = mMembers.find(id)->second;
+    if (!IsUsable(member) || member.mEntry.mDraining) {
+      continue;
+    }
+    if (!member.mIdle.empty()) {
+      const ConnectionKey key = member.mIdle.back();
+      member.mIdle.pop_back();
+      Sample(member, key, aNow);
+    } else if (member.mOpening == 0 && MayOpen(member, aGroup, aNow)) {
+      Open(member, aNow);
+    }
+  }
+}
+
+std::vector<Member*>
+ProxyCore::ReadCandidates(const Operation& aOperation,
+                          const Group& aGroup,
+                          TimePoint aNow)
+{
+  const Member* primary = PrimaryMember(aGroup, aNow);
+  std::vector<std::pair<Duration, Member*>> ranked;
+  for (const std::string& id : aGroup.mMembers) {
+    Member& member = mMembers.find(id)->second;
+    if (!IsUsable(member) || member.mEntry.mDraining || member.mUnreachableSince ||
+        member.mLaggingUntil > aNow || aOperation.mRefusedBy.contains(id)) {
+      continue;
+    }
+    Duration cost =
+      member.mServiceTime * (member.mInFlight + 1) / std::max(member.mEntry.mSlots, 1U);
+    if (member.mEntry.mZone != mSettings.mZone) {
+      cost += kZonePenalty;
+    }
+    if (&member == primary) {
+      cost += kPrimaryPenalty;
+    }
+    ranked.emplace_back(cost, &member);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<Member*> candidates;
+  for (const auto& [cost, member] : ranked) {
+    candidates.push_back(member);
+  }
+  return candidates;
+}
+
+bool
+ProxyCore::UseIdle(OperationKey aKey,
+                   Operation& aOperation,
+                   Member& aMember,
+                   const std::optional<LogPosition>& aAfter,
+                   TimePoint aNow)
+{
+  if (aMember.mIdle.empty() ||
+      aMember.mInFlight >= aMember.mEntry.mSlots + kExtraInFlight) {
+    return false;
+  }
+  const ConnectionKey connection = TakeIdle(aMember, mSessions.at(aOperation.mSession));
+  aMember.mInFlight++;
+  aOperation.mIsInFlight = true;
+  Launch(aKey, aOperation, connection, aAfter, aNow);
+  return true;
+}
+
+void
+ProxyCore::Launch(OperationKey aKey,
+                  Operation& aOperation,
+                  ConnectionKey aConnection,
+                  const std::optional<LogPosition>& aAfter,
+                  TimePoint aNow)
+{
+  PoolConnection& connection = mConnections.at(aConnection);
+  connection.mState = ConnectionState::Leased;
+  connection.mOperation = aKey;
+  aOperation.mConnection = aConnection;
+  aOperation.mMember = connection.mMember;
+  aOperation.mAttempts++;
+  aOperation.mSentAt = aNow;
+  ScheduleOperation(aKey, aOperation.mDeadline);
+  const bool needsBegin =
+    aOperation.mPurpose == OperationPurpose::TransactionFirst || aOperation.mIsWrapped;
+  if (!needsBegin) {
+    SendStatement(aOperation, aAfter, false, aNow);
+    return;
+  }
+  aOperation.mStage = OperationStage::Beginning;
+  std::vector<MemberCommand> commands =
+    Prelude(mSessions.at(aOperation.mSession), connection, aOperation.mStatement);
+  MemberCommand begin;
+  // A plain transaction fails at a member that has lost the lead; a read-only one
+  // doesn't.
+  const bool isPlain = aOperation.mNeedsPrimary || aOperation.mIsWrapped;
+  begin.mKind = isPlain ? CommandKind::Begin : CommandKind::BeginRead;
+  begin.mAfter = aAfter;
+  commands.push_back(std::move(begin));
+  Send(aConnection, connection, commands, aNow);
+}
+
+void
+ProxyCore::SendStatement(Operation& aOperation,
+                         const std::optional<LogPosition>& aAfter,
+                         bool aWithRollback,
+                         TimePoint aNow)
+{
+  PoolConnection& connection = mConnections.at(*aOperation.mConnection);
+  const Session& session = mSessions.at(aOperation.mSession);
+  std::vector<MemberCommand> commands =
+    Prelude(session, connection, aOperation.mStatement);
+  MemberCommand command;
+  command.mId = aOperation.mStatement.mId;
+  command.mArguments = aOperation.mStatement.mArguments;
+  command.mAfter = aAfter;
+  switch (aOperation.mStatement.mKind) {
+    case StatementKind::Read:
+      command.mKind = CommandKind::Read;
+      break;
+    case StatementKind::Write:
+      command.mKind = CommandKind::Write;
+      break;
+    case StatementKind::Commit:
+      command.mKind = CommandKind::Commit;
+      break;
+    default: {
+      const PreparedStatement& prepared =
+        session.mPrepared.find(aOperation.mStatement.mName)->second;
+      command.mKind = CommandKind::Execute;
+      command.mName = PreparedName(prepared.mKind, prepared.mShape);
+      break;
+    }
+  }
+  commands.push_back(std::move(command));
+  if (aWithRollback) {
+    commands.push_back({ .mKind = CommandKind::Rollback });
+  }
+  if (!aOperation.mIsInFlight) {
+    aOperation.mIsInFlight = true;
+    mMembers.find(aOperation.mMember)->second.mInFlight++;
+  }
+  if (aOperation.mWrites && session.mTransaction) {
+    mSessions.at(aOperation.mSession).mTransaction->mWrote = true;
+  }
+  aOperation.mStage = OperationStage::Running;
+  aOperation.mSentAt = aNow;
+  Send(*aOperation.mConnection, connection, commands, aNow);
+}
+
+void
+ProxyCore::LeaveFlight(Operation& aOperation)
+{
+  if (!aOperation.mIsInFlight) {
+    return;
+  }
+  aOperation.mIsInFlight = false;
+  Member& member = mMembers.find(aOperation.mMember)->second;
+  member.mInFlight -= std::min(member.mInFlight, 1U);
+}
+
+void
+ProxyCore::Requeue(OperationKey aKey,
+                   Operation& aOperation,
+                   Duration aPause,
+                   TimePoint aNow)
+{
+  LeaveFlight(aOperation);
+  aOperation.mStage = OperationStage::Waiting;
+  aOperation.mConnection.reset();
+  if (aNow + aPause >= WaitLimit(aOperation)) {
+    FailOperation(aKey, AnswerCode::Busy, "no member could run it in time", aNow);
+    return;
+  }
+  aOperation.mRetryAt = aNow + aPause;
+  mHooks.mCount("operation_retried");
+  Group& group = mGroups[aOperation.mGroup];
+  const auto place =
+    std::find_if(group.mWaiting.begin(), group.mWaiting.end(), [&](OperationKey aOther) {
+      return mOperations.at(aOther).mArrivedAt > aOperation.mArrivedAt;
+    });
+  group.mWaiting.insert(place, aKey);
+  ScheduleOperation(
+    aKey, aPause > Duration::zero() ? aOperation.mRetryAt : WaitLimit(aOperation));
+  if (aPause == Duration::zero()) {
+    Dispatch(group, aNow);
+  }
+}
+
+void
+ProxyCore::OnOperationTimer(OperationKey aKey, TimePoint aNow)
+{
+  const auto found = mOperations.find(aKey);
+  if (found == mOperations.end()) {
+    return;
+  }
+  Operation& operation = found->second;
+  if (operation.mStage == OperationStage::Waiting) {
+    if (aNow >= WaitLimit(operation)) {
+      FailOperation(aKey, AnswerCode::Busy, "no member could run it in time", aNow);
+    } else if (operation.mConnection && operation.mRetryAt <= aNow) {
+      ScheduleOperation(aKey, operation.mDeadline);
+      SendStatement(operation, std::nullopt, false, aNow);
+    } else if (operation.mRetryAt <= aNow) {
+      ScheduleOperation(aKey, WaitLimit(operation));
+      Dispatch(mGroups[operation.mGroup], aNow);
+    }
+    return;
+  }
+  if (aNow < operation.mDeadline) {
+    return;
+  }
+  const ConnectionKey connection = *operation.mConnection;
+  LoseOperation(aKey, "no answer before the timeout", aNow);
+  Discard(connection, aNow);
+}
+
+void
+ProxyCore::FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow)
+{
+  Operation& operation = mOperations.at(aKey);
+  const SessionKey sessionKey = operation.mSession;
+  const Duration took = aNow - operation.mArrivedAt;
+  mHooks.mObserve("statement_time", took);
+  const bool isLate = took > operation.mRoute.mLatencyObjective;
+  if (aAnswer.mError || isLate) {
+    mHooks.mLog(LogLevel::Info,
+                aAnswer.mError ? "statement_failed" : "statement_late",
+                { { "id", operation.mStatement.mId },
+                  { "session", std::to_string(sessionKey) },
+                  { "database", operation.mRoute.mDatabase },
+                  { "member", operation.mMember },
+                  { "attempts", std::to_string(operation.mAttempts) },
+                  { "took_ms", MillisecondText(took) },
+                  { "sent_ms_ago", MillisecondText(aNow - operation.mSentAt) },
+                  { "version", std::to_string(mConfiguration.mVersion) },
+                  { "outcome", aAnswer.mError ? aAnswer.mText : "served" } });
+  }
+  mHooks.mCount(aAnswer.mError ? "statement_failed" : "statement_served");
+  RemoveOperation(aKey);
+  const auto found = mSessions.find(sessionKey);
+  if (found == mSessions.end()) {
+    return;
+  }
+  Answer(sessionKey, found->second, std::move(aAnswer));
+  RunBacklog(sessionKey, aNow);
+}
+
+void
+ProxyCore::FailOperation(OperationKey aKey,
+                         AnswerCode aCode,
+                         std::string_view aWhy,
+                         TimePoint aNow)
+{
+  const Operation& operation = mOperations.at(aKey);
+  const auto found = mSessions.find(operation.mSession);
+  if (found != mSessions.end() && found->second.mTransaction) {
+    Session& session = found->second;
+    session.mTransaction.reset();
+    session.mState = operation.mStatement.mKind == StatementKind::Commit
+                       ? TransactionState::Idle
+                       : TransactionState::Failed;
+  }
+  ClientAnswer answer;
+  answer.mError = aCode;
+  answer.mText = aWhy;
+  FinishOperation(aKey, std::move(answer), aNow);
+}
+
+void
+ProxyCore::RemoveOperation(OperationKey aKey)
+{
+  const auto found = mOperations.find(aKey);
+  Operation& operation = found->second;
+  LeaveFlight(operation);
+  if (operation.mStage == OperationStage::Waiting) {
+    std::erase(mGroups[operation.mGroup].mWaiting, aKey);
+  }
+  if (operation.mConnection) {
+    const auto connection = mConnections.find(*operation.mConnection);
+    if (connection != mConnections.end()) {
+      connection->second.mOperation.reset();
+    }
+  }
+  const auto session = mSessions.find(operation.mSession);
+  if (session != mSessions.end()) {
+    session->second.mOperation.reset();
+  }
+  mOperations.erase(found);
+}
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -0,0 +1,355 @@
+#include "proxy/proxycore.h"
+
+#include "proxy/proxytimes.h"
+
+namespace papayaspindle::proxy {
+
+void
+ProxyCore::OnSessionOpened(SessionKey aSession,
+                           std::string_view aDatabase,
+                           TimePoint aNow)
+{
+  Session session;
+  session.mDatabase = aDatabase;
+  session.mLastActivity = aNow;
+  if (!mConfiguration.mRoutes.contains(session.mDatabase)) {
+    ClientAnswer refusal;
+    refusal.mError = HasConfiguration() ? AnswerCode::UnknownDatabase : AnswerCode::Busy;
+    refusal.mText =
+      HasConfiguration() ? "no route for the database" : "no configuration yet";
+    mHooks.mLog(LogLevel::Info,
+                "session_refused",
+                { { "database", session.mDatabase },
+                  { "version", std::to_string(mConfiguration.mVersion) } });
+    mHooks.mAnswer(aSession, refusal);
+    mHooks.mCloseSession(aSession);
+    return;
+  }
+  mSessions.emplace(aSession, std::move(session));
+  mHooks.mWelcome(aSession);
+}
+
+void
+ProxyCore::OnStatement(SessionKey aSession, Statement aStatement, TimePoint aNow)
+{
+  const auto found = mSessions.find(aSession);
+  if (found == mSessions.end()) {
+    return;
+  }
+  Session& session = found->second;
+  session.mLastActivity = aNow;
+  if (session.mOperation || !session.mBacklog.empty()) {
+    if (session.mBacklog.size() >= kMaxBacklog) {
+      mHooks.mLog(LogLevel::Warning, "session_backlog_full", {});
+      mHooks.mCloseSession(aSession);
+      OnSessionClosed(aSession, aNow);
+      return;
+    }
+    session.mBacklog.push_back(std::move(aStatement));
+    return;
+  }
+  Handle(aSession, session, std::move(aStatement), aNow);
+  CloseWhenDraining(aSession, aNow);
+}
+
+void
+ProxyCore::OnSessionClosed(SessionKey aSession, TimePoint aNow)
+{
+  const auto found = mSessions.find(aSession);
+  if (found == mSessions.end()) {
+    return;
+  }
+  Session& session = found->second;
+  if (session.mOperation) {
+    const OperationKey key = *session.mOperation;
+    const Operation& operation = mOperations.at(key);
+    // A statement under way keeps its connection until the answer; nobody waits for it.
+    if (operation.mStage == OperationStage::Waiting || session.mTransaction ||
+        operation.mIsWrapped) {
+      const std::optional<ConnectionKey> connection = operation.mConnection;
+      RemoveOperation(key);
+      if (connection) {
+        Discard(*connection, aNow);
+        if (session.mTransaction) {
+          session.mTransaction->mConnection.reset();
+        }
+      }
+    }
+  }
+  ReleaseTransaction(session, aNow);
+  mSessions.erase(found);
+}
+
+void
+ProxyCore::Handle(SessionKey aKey,
+                  Session& aSession,
+                  Statement aStatement,
+                  TimePoint aNow)
+{
+  if (aStatement.mKind == StatementKind::Malformed) {
+    AnswerError(aKey, aSession, AnswerCode::BadMessage, "statement not understood");
+    return;
+  }
+  if (aSession.mState == TransactionState::Failed) {
+    HandleFailedState(aKey, aSession, aStatement);
+    return;
+  }
+  switch (aStatement.mKind) {
+    case StatementKind::Set:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+      HandleLocal(aKey, aSession, aStatement);
+      return;
+    case StatementKind::Begin:
+    case StatementKind::BeginRead:
+      HandleBegin(aKey, aSession, aStatement.mKind == StatementKind::Begin, aNow);
+      return;
+    case StatementKind::Rollback:
+      HandleRollback(aKey, aSession, aNow);
+      return;
+    case StatementKind::Commit:
+      if (aSession.mState == TransactionState::Idle) {
+        AnswerError(aKey, aSession, AnswerCode::BadMessage, "no transaction to commit");
+        return;
+      }
+      break;
+    case StatementKind::Execute:
+      if (!aSession.mPrepared.contains(aStatement.mName)) {
+        AnswerError(
+          aKey, aSession, AnswerCode::UnknownPrepared, "prepared statement not known");
+        return;
+      }
+      break;
+    default:
+      break;
+  }
+  StartOperation(aKey, aSession, std::move(aStatement), aNow);
+}
+
+void
+ProxyCore::HandleLocal(SessionKey aKey, Session& aSession, const Statement& aStatement)
+{
+  if (aStatement.mKind == StatementKind::Set) {
+    aSession.mValues[aStatement.mName] = aStatement.mArguments;
+  } else if (aStatement.mKind == StatementKind::Prepare) {
+    aSession.mPrepared[aStatement.mName] = { aStatement.mPreparedKind,
+                                             aStatement.mArguments };
+  } else if (aSession.mPrepared.erase(aStatement.mName) == 0) {
+    AnswerError(
+      aKey, aSession, AnswerCode::UnknownPrepared, "prepared statement not known");
+    return;
+  }
+  AnswerDone(aKey, aSession);
+}
+
+void
+ProxyCore::HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite, TimePoint aNow)
+{
+  if (aSession.mState != TransactionState::Idle) {
+    AnswerError(aKey, aSession, AnswerCode::BadMessage, "transaction already open");
+    return;
+  }
+  // The member learns of the transaction with its first statement.
+  aSession.mState = TransactionState::Open;
+  aSession.mTransaction = ClientTransaction{ aMayWrite, false, std::nullopt, aNow };
+  AnswerDone(aKey, aSession);
+}
+
+void
+ProxyCore::HandleRollback(SessionKey aKey, Session& aSession, TimePoint aNow)
+{
+  if (aSession.mState == TransactionState::Idle) {
+    AnswerError(aKey, aSession, AnswerCode::BadMessage, "no transaction to roll back");
+    return;
+  }
+  ReleaseTransaction(aSession, aNow);
+  aSession.mState = TransactionState::Idle;
+  AnswerDone(aKey, aSession);
+}
+
+void
+ProxyCore::HandleFailedState(SessionKey aKey,
+                             Session& aSession,
+                             const Statement& aStatement)
+{
+  if (aStatement.mKind == StatementKind::Rollback) {
+    aSession.mTransaction.reset();
+    aSession.mState = TransactionState::Idle;
+    AnswerDone(aKey, aSession);
+    return;
+  }
+  if (aStatement.mKind == StatementKind::Commit) {
+    aSession.mTransaction.reset();
+    aSession.mState = TransactionState::Idle;
+    AnswerError(aKey, aSession, AnswerCode::Aborted, "transaction was rolled back");
+    return;
+  }
+  // The transaction may have been given up while no statement was running: a client that
+  // hasn't been told yet learns it from this answer.
+  const bool isTold = !aSession.mTransaction;
+  aSession.mTransaction.reset();
+  AnswerError(aKey,
+              aSession,
+              isTold ? AnswerCode::BadMessage : AnswerCode::Aborted,
+              "transaction was rolled back");
+}
+
+void
+ProxyCore::StartOperation(SessionKey aKey,
+                          Session& aSession,
+                          Statement aStatement,
+                          TimePoint aNow)
+{
+  Operation operation;
+  operation.mSession = aKey;
+  const auto route = mConfiguration.mRoutes.find(aSession.mDatabase);
+  const bool isPinned = aSession.mTransaction && aSession.mTransaction->mConnection;
+  if (route != mConfiguration.mRoutes.end()) {
+    operation.mRoute = route->second;
+  } else if (!isPinned) {
+    if (aSession.mTransaction) {
+      AbortTransaction(aKey, aSession, "route was removed", aNow);
+      aSession.mTransaction.reset();
+    }
+    AnswerError(aKey, aSession, AnswerCode::UnknownDatabase, "no route for the database");
+    return;
+  } else {
+    operation.mRoute.mStatementTimeout = std::chrono::seconds(1);
+  }
+  const StatementKind kind = aStatement.mKind;
+  operation.mWrites =
+    kind == StatementKind::Write ||
+    (kind == StatementKind::Execute &&
+     aSession.mPrepared.find(aStatement.mName)->second.mKind == PreparedKind::Write);
+  operation.mGroup = operation.mRoute.mGroup;
+  const bool isPrimaryRoute = operation.mRoute.mConsistency == Consistency::Primary;
+  if (aSession.mTransaction) {
+    operation.mPurpose =
+      isPinned ? OperationPurpose::TransactionNext : OperationPurpose::TransactionFirst;
+    operation.mNeedsPrimary = aSession.mTransaction->mMayWrite || isPrimaryRoute;
+  } else {
+    operation.mPurpose =
+      operation.mWrites ? OperationPurpose::SingleWrite : OperationPurpose::SingleRead;
+    operation.mNeedsPrimary = operation.mWrites || isPrimaryRoute;
+    operation.mIsWrapped = !operation.mWrites && isPrimaryRoute;
+  }
+  operation.mStatement = std::move(aStatement);
+  operation.mArrivedAt = aNow;
+  operation.mDeadline = aNow + operation.mRoute.mStatementTimeout;
+  const OperationKey key = mNextOperation++;
+  aSession.mOperation = key;
+  Operation& stored = mOperations.emplace(key, std::move(operation)).first->second;
+  if (isPinned) {
+    stored.mConnection = aSession.mTransaction->mConnection;
+    stored.mMember = mConnections.at(*stored.mConnection).mMember;
+    mConnections.at(*stored.mConnection).mOperation = key;
+    ScheduleOperation(key, stored.mDeadline);
+    SendStatement(stored, std::nullopt, false, aNow);
+    return;
+  }
+  Group& group = mGroups[stored.mGroup];
+  if (stored.mRoute.mConsistency != Consistency::Primary) {
+    group.mLastBoundedRead = aNow;
+  }
+  group.mWaiting.push_back(key);
+  ScheduleOperation(key,
+                    aNow + std::chrono::duration_cast<Duration>(
+                             stored.mRoute.mStatementTimeout * kWaitShare));
+  Dispatch(group, aNow);
+}
+
+void
+ProxyCore::Answer(SessionKey aKey, Session& aSession, ClientAnswer aAnswer)
+{
+  aAnswer.mState = aSession.mState;
+  mHooks.mAnswer(aKey, aAnswer);
+}
+
+void
+ProxyCore::AnswerError(SessionKey aKey,
+                       Session& aSession,
+                       AnswerCode aCode,
+                       std::string_view aText)
+{
+  if (aSession.mState == TransactionState::Open) {
+    aSession.mState = TransactionState::Failed;
+    if (aSession.mTransaction && aSession.mTransaction->mConnection) {
+      Release(*aSession.mTransaction->mConnection, true, aSession.mLastActivity);
+    }
+    aSession.mTransaction.reset();
+  }
+  ClientAnswer answer;
+  answer.mError = aCode;
+  answer.mText = aText;
+  Answer(aKey, aSession, std::move(answer));
+}
+
+void
+ProxyCore::AnswerDone(SessionKey aKey, Session& aSession)
+{
+  ClientAnswer answer;
+  answer.mText = kUnsigned;
+  Answer(aKey, aSession, std::move(answer));
+}
+
+void
+ProxyCore::RunBacklog(SessionKey aKey, TimePoint aNow)
+{
+  auto found = mSessions.find(aKey);
+  while (found != mSessions.end() && !found->second.mOperation &&
+         !found->second.mBacklog.empty()) {
+    Statement next = std::move(found->second.mBacklog.front());
+    found->second.mBacklog.pop_front();
+    Handle(aKey, found->second, std::move(next), aNow);
+    found = mSessions.find(aKey);
+  }
+  CloseWhenDraining(aKey, aNow);
+}
+
+void
+ProxyCore::CloseWhenDraining(SessionKey aKey, TimePoint aNow)
+{
+  const auto found = mSessions.find(aKey);
+  if (!mDrainStart || found == mSessions.end()) {
+    return;
+  }
+  const Duration passed = aNow - *mDrainStart;
+  const Session& session = found->second;
+  const bool isAtRest = session.mState == TransactionState::Idle && !session.mOperation;
+  const bool isTransactionAtRest =
+    session.mState != TransactionState::Idle && !session.mOperation;
+  const bool mayClose = (isAtRest && passed >= kDrainNotice) ||
+                        (isTransactionAtRest && passed >= mSettings.mGrace / 2) ||
+                        passed >= mSettings.mGrace - kDrainMargin;
+  if (mayClose) {
+    mHooks.mCloseSession(aKey);
+    OnSessionClosed(aKey, aNow);
+  }
+}
+
+void
+ProxyCore::ReleaseTransaction(Session& aSession, TimePoint aNow)
+{
+  if (aSession.mTransaction && aSession.mTransaction->mConnection) {
+    Release(*aSession.mTransaction->mConnection, true, aNow);
+  }
+  aSession.mTransaction.reset();
+}
+
+void
+ProxyCore::AbortTransaction(SessionKey aKey,
+                            Session& aSession,
+                            std::string_view aWhy,
+                            TimePoint aNow)
+{
+  mHooks.mLog(LogLevel::Info,
+              "transaction_aborted",
+              { { "session", std::to_string(aKey) }, { "reason", std::string(aWhy) } });
+  if (aSession.mTransaction && aSession.mTransaction->mConnection) {
+    Release(*aSession.mTransaction->mConnection, true, aNow);
+    aSession.mTransaction->mConnection.reset();
+  }
+  aSession.mState = TransactionState::Failed;
+}
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/proxytimes.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/timetypes.h"
+
+#include <cstdint>
+
+namespace papayaspindle::proxy {
+
+using namespace std::chrono_literals;
+
+/** Interval of the checks of pools, samples and idle transactions. */
+constexpr Duration kMaintenanceInterval = 100ms;
+
+/** A sample of the primary's position older than this is renewed while bounded reads
+ * arrive; a fraction of the shortest staleness in use (1.5 s), so that replicas are asked
+ * for positions of about that age. */
+constexpr Duration kSampleInterval = 400ms;
+/** Sampling stops this long after the last bounded read. */
+constexpr Duration kSampleDemand = 5s;
+
+/** Pause before a member that refused an opening for lack of connections is asked again;
+ * doubles to the upper limit. */
+constexpr Duration kOpenBackoffFirst = 100ms;
+constexpr Duration kOpenBackoffMost = 1s;
+/** Opening that takes longer is given up: several handshakes of the slowest group. */
+constexpr Duration kOpenTimeout = 600ms;
+
+/** A replica that lacked a position is left out of such reads for this long, doubling. */
+constexpr Duration kLagBackoffFirst = 50ms;
+constexpr Duration kLagBackoffMost = 800ms;
+
+/** A member that refused to lead is not taken for the primary for this long. */
+constexpr Duration kNotLeadingPause = 200ms;
+/** Pause between searches for a leader among all members of a group. */
+constexpr Duration kLeaderSearchInterval = 150ms;
+/** A proof of leadership is believed without the directory for this long. */
+constexpr Duration kProofLasts = 2s;
+
+/** Pause before an operation that every member refused is tried again. */
+constexpr Duration kRetryPause = 15ms;
+/** Answers later than this, with nothing received meanwhile, make a connection suspect.
+ */
+constexpr Duration kSilence = 400ms;
+/** Part of a statement's timeout that it may wait for a connection. */
+constexpr double kWaitShare = 0.9;
+/** Reads are sent to at most this many members. */
+constexpr std::uint32_t kReadAttempts = 4;
+
+/** Statements of one instance at a member beyond its slots. */
+constexpr std::uint32_t kExtraInFlight = 1;
+/** Assumed extra cost of a member in another zone: a round trip. */
+constexpr Duration kZonePenalty = 3ms;
+/** Assumed extra cost of reads at the primary, which alone can run writes. */
+constexpr Duration kPrimaryPenalty = 30ms;
+
+/** Connections idle longer than this are closed above the base share. */
+constexpr Duration kIdleConnection = 3s;
+
+/** After a stop request, clients still arrive until two readiness probes have failed. */
+constexpr Duration kDrainNotice = 2200ms;
+/** Time before the end of the grace at which every session is closed. */
+constexpr Duration kDrainMargin = 700ms;
+
+/** A draining primary takes statements this long while its successor is chosen; below the
+ * shortest drain limit in use (7 s). */
+constexpr Duration kDrainingPrimaryUse = 4500ms;
+
+/** A statement unanswered for this long, and for this many times the member's usual time,
+ * while later ones were answered, has lost its answer. */
+constexpr Duration kLostAnswer = 200ms;
+constexpr int kLostAnswerFactor = 8;
+
+/** Weight of the newest service time in the smoothed one. */
+constexpr int kServiceTimeWeight = 8;
+
+/** Statements that a session may send ahead of its answers. */
+constexpr std::size_t kMaxBacklog = 64;
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/session.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/logposition.h"
+#include "core/timetypes.h"
+#include "proxy/memberreply.h"
+#include "proxy/statement.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace papayaspindle::proxy {
+
+using SessionKey = std::uint64_t;
+using ConnectionKey = std::uint64_t;
+using OperationKey = std::uint64_t;
+
+/** Session values by name. */
+using SessionValues = std::map<std::string, std::string, std::less<>>;
+
+/** A prepared statement of a session. */
+struct PreparedStatement
+{
+  PreparedKind mKind = PreparedKind::Read;
+  std::string mShape;
+};
+
+/** A client's open transaction. */
+struct ClientTransaction
+{
+  /** Opened with Begin; may write. */
+  bool mMayWrite = false;
+  /** A write was sent to the member. */
+  bool mWrote = false;
+  /** Connection that runs it; none before its first statement reached a member. */
+  std::optional<ConnectionKey> mConnection;
+  /** When the client's BEGIN arrived. */
+  TimePoint mBegunAt;
+};
+
+/** A client's session. */
+struct Session
+{
+  std::string mDatabase;
+  TransactionState mState = TransactionState::Idle;
+  std::optional<ClientTransaction> mTransaction;
+  SessionValues mValues;
+  std::map<std::string, PreparedStatement, std::less<>> mPrepared;
+  /** Position of the session's last acknowledged commit. */
+  std::optional<LogPosition> mLastCommit;
+  /** Statement that waits for a member or runs on one. */
+  std::optional<OperationKey> mOperation;
+  /** Statements that arrived while another was running. */
+  std::deque<Statement> mBacklog;
+  TimePoint mLastActivity;
+};
+
+} // namespace papayaspindle::proxy
