Promote a replica when a primary is down, leaves or is gone

Cause: no instance replaced a primary; statements for it waited until refused. Change: PromotionCoordinator: instances write doubts and objections to a table of the store, the first to see a doubt confirmed takes the next token by a conditional write, asks the replicas what they received, and calls the platform.

--- /dev/null
+++ b/src/libs/proxy/coordinationrows.cpp
@@ -0,0 +1,92 @@
+#include "proxy/coordinationrows.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <vector>
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+constexpr std::string_view kLeadershipPrefix = "leadership/";
+constexpr std::string_view kOpinionPrefix = "opinion/";
+
+std::vector<std::string_view>
+Words(std::string_view aText)
+{
+  std::vector<std::string_view> words;
+  while (!aText.empty()) {
+    const std::size_t blank = aText.find(' ');
+    words.push_back(aText.substr(0, blank));
+    aText =
+      blank == std::string_view::npos ? std::string_view() : aText.substr(blank + 1);
+  }
+  return words;
+}
+
+} // namespace
+
+std::string
+LeadershipKey(std::string_view aGroup)
+{
+  return fmt::format("{}{}", kLeadershipPrefix, aGroup);
+}
+
+std::string
+OpinionKey(std::string_view aGroup, std::string_view aInstance)
+{
+  return fmt::format("{}{}/{}", kOpinionPrefix, aGroup, aInstance);
+}
+
+std::optional<std::string_view>
+GroupOfOpinion(std::string_view aKey)
+{
+  if (!aKey.starts_with(kOpinionPrefix)) {
+    return std::nullopt;
+  }
+  const std::string_view rest = aKey.substr(kOpinionPrefix.size());
+  return rest.substr(0, rest.find('/'));
+}
+
+std::string
+Encode(const LeadershipRow& aRow)
+{
+  return fmt::format("{} {} {}", aRow.mToken, aRow.mHolder, aRow.mMember);
+}
+
+std::string
+Encode(const PrimaryOpinion& aRow)
+{
+  return fmt::format("{} {}", aRow.mIsAlive ? "alive" : "down", aRow.mMember);
+}
+
+std::optional<LeadershipRow>
+DecodeLeadership(std::string_view aText)
+{
+  const std::vector<std::string_view> words = Words(aText);
+  LeadershipRow row;
+  if (words.size() != 3) {
+    return std::nullopt;
+  }
+  const char* end = words[0].data() + words[0].size();
+  const auto parsed = std::from_chars(words[0].data(), end, row.mToken);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  row.mHolder = words[1];
+  row.mMember = words[2];
+  return row;
+}
+
+std::optional<PrimaryOpinion>
+DecodeOpinion(std::string_view aText)
+{
+  const std::vector<std::string_view> words = Words(aText);
+  if (words.size() != 2 || (words[0] != "alive" && words[0] != "down")) {
+    return std::nullopt;
+  }
+  return PrimaryOpinion{ std::string(words[1]), words[0] == "alive" };
+}
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/coordinationrows.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace papayaspindle::proxy {
+
+/** Table of the shared store in which instances coordinate promotions. */
+inline constexpr std::string_view kCoordinationTable = "papayaspindle";
+
+/** The newest decision to promote a member of a group; at most one instance writes each
+ * token, since each write is conditional on the row before. */
+struct LeadershipRow
+{
+  std::uint64_t mToken = 0;
+  std::string mHolder;
+  std::string mMember;
+};
+
+/** What an instance says of a group's primary while some instance doubts it. */
+struct PrimaryOpinion
+{
+  std::string mMember;
+  bool mIsAlive = false;
+};
+
+/** @return key of a group's leadership row */
+std::string LeadershipKey(std::string_view aGroup);
+/** @return key of an instance's opinion of a group's primary */
+std::string OpinionKey(std::string_view aGroup, std::string_view aInstance);
+/** @return the group whose opinion row the key names, or nothing */
+std::optional<std::string_view> GroupOfOpinion(std::string_view aKey);
+
+std::string Encode(const LeadershipRow& aRow);
+std::string Encode(const PrimaryOpinion& aRow);
+/** @return the row, or nothing for other text */
+std::optional<LeadershipRow> DecodeLeadership(std::string_view aText);
+/** @return the row, or nothing for other text */
+std::optional<PrimaryOpinion> DecodeOpinion(std::string_view aText);
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/group.h
+++ b/src/libs/proxy/group.h
@@ -25,6 +25,8 @@
   /** Member that last proved to lead. */
   std::string mProvenPrimary;
   TimePoint mProvenAt;
+  /** Since when the member that calls itself primary refuses to lead. */
+  std::optional<TimePoint> mLeaderlessSince;
   /** When the instance last looked for a leader among all members. */
   TimePoint mLastLeaderSearch;
   /** When a sample was last asked for. */
--- a/src/libs/proxy/memberreply.h
+++ b/src/libs/proxy/memberreply.h
@@ -2,6 +2,7 @@
 
 #include "core/logposition.h"
 #include "proxy/answercode.h"
+#include "proxy/memberstatus.h"
 
 #include <cstdint>
 #include <optional>
@@ -30,6 +31,8 @@
   TransactionState mState = TransactionState::Idle;
   /** Position of the member's log after the command. */
   std::optional<LogPosition> mPosition;
+  /** Of status commands only. */
+  std::optional<MemberStatus> mStatus;
 };
 
 /** The whole answer to one statement of a client; the same parts as a member's. */
--- /dev/null
+++ b/src/libs/proxy/memberstatus.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/logposition.h"
+#include "proxy/memberentry.h"
+
+#include <cstdint>
+
+namespace papayaspindle::proxy {
+
+/** What a member reports of itself when asked. */
+struct MemberStatus
+{
+  MemberRole mRole = MemberRole::Replica;
+  std::uint64_t mTerm = 0;
+  /** Newest position that the member has received; it may not have applied it yet. */
+  LogPosition mReceived;
+};
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/promotioncoordinator.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "core/timetypes.h"
+#include "observe/log.h"
+#include "proxy/coordinationrows.h"
+#include "proxy/membercommand.h"
+#include "proxy/memberentry.h"
+#include "proxy/primaryhealth.h"
+#include "proxy/rowstore.h"
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace papayaspindle::proxy {
+
+/** What the coordinator knows of the groups and asks of them. */
+struct PromotionHooks
+{
+  std::function<std::vector<std::string>()> mGroups;
+  std::function<PrimaryHealth(std::string_view aGroup, TimePoint)> mPrimary;
+  /** Listed members of a group that don't lead. */
+  std::function<std::vector<MemberEntry>(std::string_view aGroup)> mReplicas;
+  /** Newest term that was seen in a group. */
+  std::function<std::uint64_t(std::string_view aGroup)> mNewestTerm;
+  /** Replicas that must have received a commit before it is acknowledged. */
+  std::function<std::uint32_t(std::string_view aGroup)> mSynchronousReplicas;
+  std::function<
+    void(std::string_view aMember, const MemberCommand&, Duration, TimePoint, StatusHook)>
+    mQueryStatus;
+  /** The platform has accepted a promotion. */
+  std::function<void(std::string_view aGroup, std::string_view aMember, TimePoint)>
+    mExpect;
+  std::function<TimePoint()> mNow;
+  std::function<void(LogLevel, std::string_view aEvent, std::initializer_list<LogField>)>
+    mLog;
+};
+
+/**
+ * Replaces the primary of a group that can't be reached, leaves or is gone.
+ *
+ * Instances that can't reach a primary say so in the shared store, and those that can
+ * object. The first to find the primary down takes the next fencing token by a
+ * conditional write, chooses the replica that received most, and calls the platform.
+ * Single-threaded.
+ */
+class PromotionCoordinator
+{
+public:
+  PromotionCoordinator(std::string aInstance, SharedStore aStore, PromotionHooks aHooks);
+
+  /** Takes all rows of the coordination table as they are now. */
+  void OnRows(std::span<const StoredRow> aRows, TimePoint aNow);
+  void OnTimer(TimePoint aNow);
+  /** @return when OnTimer is due */
+  [[nodiscard]] TimePoint NextTimer() const { return mNextCheck; }
+
+private:
+  enum class Phase : std::uint8_t
+  {
+    Watching,
+    /** The conditional write of the leadership row is under way. */
+    Claiming,
+    /** Replicas are asked for what they received. */
+    Choosing,
+    /** The platform is called. */
+    Promoting,
+  };
+
+  struct Candidate
+  {
+    std::string mMember;
+    std::optional<MemberStatus> mStatus;
+    bool mIsAnswered = false;
+  };
+
+  struct GroupRun
+  {
+    Phase mPhase = Phase::Watching;
+    /** Tells answers to an abandoned run apart. */
+    std::uint64_t mRun = 0;
+    /** Since when the group has a reason for a promotion. */
+    std::optional<TimePoint> mReasonSince;
+    std::uint64_t mToken = 0;
+    /** Member that the promotion replaces. */
+    std::string mReplaced;
+    std::vector<Candidate> mCandidates;
+    TimePoint mChoiceDeadline;
+    std::string mTarget;
+    std::uint32_t mCalls = 0;
+    TimePoint mCallAt = TimePoint::max();
+    bool mIsCalling = false;
+    /** Members that refused a promotion, and until when they are left out. */
+    std::map<std::string, TimePoint> mRefused;
+    /** No claim before this time. */
+    TimePoint mClaimAfter;
+    /** When this instance's opinion was last written, or its write began. */
+    TimePoint mOpinionAt;
+    /** Whether the last opinion written says "down". */
+    bool mHasDoubted = false;
+  };
+
+  struct SeenRow
+  {
+    StoredRow mRow;
+    /** When this version was first seen; the epoch for rows of the first read. */
+    TimePoint mSeenAt;
+  };
+
+  void Watch(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  [[nodiscard]] bool IsConfirmedDown(const std::string& aGroup,
+                                     const GroupRun& aRun,
+                                     const PrimaryHealth& aHealth,
+                                     TimePoint aNow) const;
+  void WriteOpinion(const std::string& aGroup,
+                    GroupRun& aRun,
+                    const std::string& aMember,
+                    bool aIsAlive,
+                    TimePoint aNow);
+  void ObjectToDoubts(TimePoint aNow);
+  void Claim(const std::string& aGroup,
+             GroupRun& aRun,
+             const std::string& aReason,
+             TimePoint aNow);
+  void Choose(const std::string& aGroup, TimePoint aNow);
+  void FinishChoice(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  void Call(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  void OnCallAnswer(const std::string& aGroup,
+                    std::uint64_t aRun,
+                    PromotionAnswer aAnswer);
+  void Abandon(GroupRun& aRun, Duration aPause, TimePoint aNow);
+  [[nodiscard]] const SeenRow* Find(const std::string& aKey) const;
+
+  std::string mInstance;
+  SharedStore mStore;
+  PromotionHooks mHooks;
+  std::map<std::string, GroupRun> mRuns;
+  std::map<std::string, SeenRow> mRows;
+  bool mHasRows = false;
+  TimePoint mNextCheck;
+};
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -171,7 +171,7 @@
 ProxyCore::GroupNames() const
 {
   std::vector<std::string> names;
-  for (const auto& [name, group] : mGroups) {
+  for (const auto& [name, limits] : mConfiguration.mGroups) {
     names.push_back(name);
   }
   return names;
@@ -204,6 +204,12 @@
   health.mIsDraining = claimant->mEntry.mDraining;
   health.mIsListed = claimant->mIsListed;
   health.mDownSince = claimant->mUnreachableSince;
+  health.mLastReply = claimant->mLastReply;
+  const bool refusesToLead =
+    group->mLeaderlessSince && aNow - *group->mLeaderlessSince > kLeaderlessPatience;
+  if (!health.mDownSince && refusesToLead) {
+    health.mDownSince = group->mLeaderlessSince;
+  }
   return health;
 }
 
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -4,6 +4,7 @@
 #include "proxy/member.h"
 #include "proxy/operation.h"
 #include "proxy/poolconnection.h"
+#include "proxy/primaryhealth.h"
 #include "proxy/proxyhooks.h"
 #include "proxy/proxysettings.h"
 #include "proxy/session.h"
@@ -21,21 +22,6 @@
 
 namespace papayaspindle::proxy {
 
-/** What this instance knows of a group's primary. */
-struct PrimaryHealth
-{
-  /** Empty when no member calls itself primary. */
-  std::string mMember;
-  bool mIsDraining = false;
-  /** In the directory. */
-  bool mIsListed = false;
-  /** Since when the member can't be reached, or refuses to lead. */
-  std::optional<TimePoint> mDownSince;
-};
-
-/** Receives the answer to a status command, or nothing when there was none. */
-using StatusHook = std::function<void(const std::optional<MemberReply>&)>;
-
 /**
  * The data path: sessions, operations and member connections.
  *
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -269,7 +269,8 @@
   std::vector<ConnectionKey> surplus;
   for (auto& [id, member] : mMembers) {
     const Group* group = FindGroup(member.mEntry.mGroup);
-    const bool isKept = IsUsable(member) && group != nullptr;
+    const bool isKept =
+      IsUsable(member) && group != nullptr && !group->mLimits.mName.empty();
     std::uint32_t connections = member.mConnections;
     for (const ConnectionKey key : member.mIdle) {
       const bool isOld = aNow - mConnections.at(key).mLastUsed > kIdleConnection;
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -104,6 +104,7 @@
     group.mProvenPrimary = aConnection.mMember;
   }
   group.mProvenAt = aNow;
+  group.mLeaderlessSince.reset();
   member.mNotLeadingUntil = {};
 }
 
@@ -113,6 +114,9 @@
   if (aMember.mNotLeadingUntil <= aNow) {
     aMember.mNotLeadingUntil = aNow + kNotLeadingPause;
     Group& group = mGroups[aMember.mEntry.mGroup];
+    if (!group.mLeaderlessSince && aMember.mPrimarySince > 0) {
+      group.mLeaderlessSince = aNow;
+    }
     if (group.mProvenPrimary == aMember.mEntry.mId) {
       mHooks.mLog(
         LogLevel::Info,
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -31,6 +31,9 @@
 
 /** A member that refused to lead is not taken for the primary for this long. */
 constexpr Duration kNotLeadingPause = 200ms;
+/** A promotion may take this long until its member leads; a group whose primary refuses
+ * to lead for longer needs another one. */
+constexpr Duration kLeaderlessPatience = 2500ms;
 /** Pause between searches for a leader among all members of a group. */
 constexpr Duration kLeaderSearchInterval = 150ms;
 /** A proof of leadership is believed without the directory for this long. */
