--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -31,6 +31,8 @@
   /** No connection is opened before this time. */
   TimePoint mOpenAfter;
   Duration mOpenBackoff{};
+  /** No connection beyond the base share is opened before this time. */
+  TimePoint mBorrowAfter;
   /** Set while no connection can be opened and none works. */
   std::optional<TimePoint> mUnreachableSince;
   TimePoint mLastReply;
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -240,7 +240,8 @@
   std::map<std::pair<PreparedKind, std::string>, std::string> mPreparedNames;
   OperationKey mNextOperation = 1;
   ConnectionKey mNextConnection = 1;
-  std::uint32_t mInstanceCount = 1;
+  /** Until the instances are counted, shares are cautious. */
+  std::uint32_t mInstanceCount = 8;
   TimePoint mNextMaintenance;
   std::optional<TimePoint> mDrainStart;
 };
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -16,17 +16,24 @@
 std::uint32_t
 ProxyCore::BaseShare(const Group& aGroup) const
 {
-  return std::max(aGroup.mLimits.mMaxConnections / (mInstanceCount + 1), 1U);
+  return std::max(aGroup.mLimits.mMaxConnections / mInstanceCount, 1U);
 }
 
 bool
 ProxyCore::MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const
 {
-  // Beyond its share an instance borrows what others leave idle; the member refuses what
-  // exceeds the limit.
-  const std::uint32_t most = BaseShare(aGroup) * 2 + 1;
-  return IsUsable(aMember) && aNow >= aMember.mOpenAfter && aMember.mOpening < 2 &&
-         aMember.mConnections < std::min(most, aGroup.mLimits.mMaxConnections);
+  if (!IsUsable(aMember) || aMember.mOpening >= 2) {
+    return false;
+  }
+  const std::uint32_t base = BaseShare(aGroup);
+  if (aMember.mConnections < base) {
+    return aNow >= aMember.mOpenAfter;
+  }
+  // Beyond its share an instance borrows what others leave unused; the member refuses
+  // what exceeds the limit.
+  return aNow >= aMember.mBorrowAfter && aNow >= aMember.mOpenAfter &&
+         aMember.mConnections <
+           std::min(base * kBorrowFactor + 1, aGroup.mLimits.mMaxConnections);
 }
 
 void
@@ -87,9 +94,13 @@
   if (aCode == AnswerCode::Misrouted) {
     member.mIsMisrouted = true;
   }
-  member.mOpenBackoff =
-    std::clamp(member.mOpenBackoff * 2, kOpenBackoffFirst, kOpenBackoffMost);
-  member.mOpenAfter = aNow + member.mOpenBackoff;
+  const Group* group = FindGroup(member.mEntry.mGroup);
+  if (group != nullptr && member.mConnections > BaseShare(*group)) {
+    member.mBorrowAfter = aNow + kBorrowPause;
+  } else {
+    // The instance is entitled to it: whoever borrowed it gives it back soon.
+    member.mOpenAfter = aNow + kOpenBackoffFirst;
+  }
   Discard(aConnection, aNow);
 }
 
@@ -273,8 +284,10 @@
       IsUsable(member) && group != nullptr && !group->mLimits.mName.empty();
     std::uint32_t connections = member.mConnections;
     for (const ConnectionKey key : member.mIdle) {
-      const bool isOld = aNow - mConnections.at(key).mLastUsed > kIdleConnection;
-      const bool isExtra = isKept && connections > BaseShare(*group) && isOld;
+      const Duration unused = aNow - mConnections.at(key).mLastUsed;
+      const bool isOld = unused > kIdleConnection;
+      const bool isExtra =
+        isKept && connections > BaseShare(*group) && unused > kIdleBorrowed;
       const bool isLeaving = isKept && member.mEntry.mDraining && isOld;
       if (!isKept || isExtra || isLeaving) {
         surplus.push_back(key);
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -56,7 +56,13 @@
 /** Assumed extra cost of reads at the primary, which alone can run writes. */
 constexpr Duration kPrimaryPenalty = 30ms;
 
-/** Connections idle longer than this are closed above the base share. */
+/** An instance holds at most this many times its share of a member's connections. */
+constexpr std::uint32_t kBorrowFactor = 2;
+/** After a refusal beyond the base share, no more are opened for this long. */
+constexpr Duration kBorrowPause = 1s;
+/** Connections beyond the base share are given back when unused for this long. */
+constexpr Duration kIdleBorrowed = 250ms;
+/** Connections to a leaving member are closed when unused for this long. */
 constexpr Duration kIdleConnection = 3s;
 
 /** After a stop request, clients still arrive until two readiness probes have failed. */
