Bound statements at a member by a window, and refuse early under overload

Change: ConcurrencyWindow (raised and cut by how long answers take against WorkEstimate), waiting statements ordered by whether they can still be in time, then priority, then arrival; a statement whose predicted wait passes its objective is refused at once. A doubt counts only once others can have read it.

--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -2,6 +2,7 @@
 
 #include "core/logposition.h"
 #include "core/timetypes.h"
+#include "proxy/concurrencywindow.h"
 #include "proxy/memberentry.h"
 #include "proxy/session.h"
 
@@ -28,6 +29,8 @@
   std::uint32_t mOpening = 0;
   /** Statements that occupy or wait for a slot. */
   std::uint32_t mInFlight = 0;
+  /** Bounds mInFlight. */
+  ConcurrencyWindow mWindow;
   /** No connection is opened before this time. */
   TimePoint mOpenAfter;
   Duration mOpenBackoff{};
--- a/src/libs/proxy/operation.h
+++ b/src/libs/proxy/operation.h
@@ -63,6 +63,8 @@
   std::uint32_t mAttempts = 0;
   /** Counted among the statements in flight at its member. */
   bool mIsInFlight = false;
+  /** Can't be answered within the latency objective any more. */
+  bool mIsLate = false;
   /** Not tried again before this time. */
   TimePoint mRetryAt;
 };
--- a/src/libs/proxy/promotioncoordinator.cpp
+++ b/src/libs/proxy/promotioncoordinator.cpp
@@ -145,7 +145,7 @@
 {
   std::size_t doubts = 0;
   std::size_t objections = 0;
-  bool hasOwnDoubt = false;
+  Duration doubted{};
   for (const auto& [key, seen] : mRows) {
     if (GroupOfOpinion(key) != aGroup || aNow - seen.mSeenAt > kOpinionLasts) {
       continue;
@@ -155,12 +155,12 @@
       continue;
     }
     (opinion->mIsAlive ? objections : doubts)++;
-    hasOwnDoubt =
-      hasOwnDoubt || (!opinion->mIsAlive && key == OpinionKey(aGroup, mInstance));
+    // Reading its own doubt back shows that others can have read it, too.
+    if (!opinion->mIsAlive && key == OpinionKey(aGroup, mInstance)) {
+      doubted = aNow - std::max(seen.mSeenAt, *aRun.mReasonSince);
+    }
   }
-  const Duration doubted = aNow - *aRun.mReasonSince;
-  // Reading its own doubt back shows that others can have read it, too.
-  if (!hasOwnDoubt || doubted < kObjectionTime || doubts <= objections) {
+  if (doubted < kObjectionTime || doubts <= objections) {
     return false;
   }
   return doubts > 1 || doubted >= kLonelyObjectionTime;
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -8,7 +8,9 @@
 #include "proxy/proxyhooks.h"
 #include "proxy/proxysettings.h"
 #include "proxy/session.h"
+#include "proxy/workestimate.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -152,6 +154,20 @@
   void Requeue(OperationKey aKey, Operation& aOperation, Duration aPause, TimePoint aNow);
   void LeaveFlight(Operation& aOperation);
   [[nodiscard]] TimePoint WaitLimit(const Operation& aOperation) const;
+  /** @return time until which the answer can come within the latency objective */
+  [[nodiscard]] TimePoint ObjectiveLimit(const Operation& aOperation) const;
+  /** @return time until a member is free for the operation, or nothing where no member is
+   * known that could run it */
+  [[nodiscard]] std::optional<Duration> PredictedWait(const Operation& aOperation,
+                                                      const Group& aGroup,
+                                                      TimePoint aNow);
+  /** Refuses an operation that has just arrived and can't be served in time. */
+  void RefuseHopeless(OperationKey aKey, Group& aGroup, TimePoint aNow);
+  void OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow);
+  /** @return waiting operations that need the same members and go first */
+  [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
+                                         const Group& aGroup) const;
+  WorkEstimate& WorkOf(const Operation& aOperation);
   void FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow);
   void FailOperation(OperationKey aKey,
                      AnswerCode aCode,
@@ -238,6 +254,8 @@
   std::set<std::pair<TimePoint, OperationKey>> mOperationTimers;
   std::vector<StatusQuery> mStatusQueries;
   std::map<std::pair<PreparedKind, std::string>, std::string> mPreparedNames;
+  /** By consistency of the route, reads and writes before commits. */
+  std::array<WorkEstimate, 6> mWork;
   OperationKey mNextOperation = 1;
   ConnectionKey mNextConnection = 1;
   /** Until the instances are counted, shares are cautious. */
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -24,6 +24,74 @@
                                    aOperation.mRoute.mStatementTimeout * kWaitShare);
 }
 
+TimePoint
+ProxyCore::ObjectiveLimit(const Operation& aOperation) const
+{
+  return aOperation.mArrivedAt + std::chrono::duration_cast<Duration>(
+                                   aOperation.mRoute.mLatencyObjective * kObjectiveShare);
+}
+
+WorkEstimate&
+ProxyCore::WorkOf(const Operation& aOperation)
+{
+  const std::size_t kind = static_cast<std::size_t>(aOperation.mRoute.mConsistency);
+  const bool isCommit = aOperation.mStatement.mKind == StatementKind::Commit;
+  return mWork.at(kind + (isCommit ? mWork.size() / 2 : 0));
+}
+
+std::size_t
+ProxyCore::WaitingAhead(const Operation& aOperation, const Group& aGroup) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(aGroup.mWaiting.begin(), aGroup.mWaiting.end(), [&](OperationKey aKey) {
+      const Operation& other = mOperations.at(aKey);
+      return &other != &aOperation && other.mNeedsPrimary == aOperation.mNeedsPrimary &&
+             !other.mIsLate && other.mRoute.mPriority <= aOperation.mRoute.mPriority;
+    }));
+}
+
+std::optional<Duration>
+ProxyCore::PredictedWait(const Operation& aOperation, const Group& aGroup, TimePoint aNow)
+{
+  std::vector<const Member*> members;
+  if (aOperation.mNeedsPrimary || aOperation.mIsWrapped) {
+    if (const Member* primary = PrimaryMember(aGroup, aNow)) {
+      members.push_back(primary);
+    }
+  } else {
+    for (const Member* member : ReadCandidates(aOperation, aGroup, aNow)) {
+      members.push_back(member);
+    }
+  }
+  // Statements that this instance finishes at all of them in a second.
+  double perSecond = 0;
+  for (const Member* member : members) {
+    const double seconds =
+      std::chrono::duration<double>(std::max(member->mServiceTime, kShortestService))
+        .count();
+    perSecond += member->mWindow.Limit() / seconds;
+  }
+  if (perSecond <= 0) {
+    return std::nullopt;
+  }
+  const double ahead = static_cast<double>(WaitingAhead(aOperation, aGroup)) + 1;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(ahead / perSecond));
+}
+
+void
+ProxyCore::RefuseHopeless(OperationKey aKey, Group& aGroup, TimePoint aNow)
+{
+  const auto found = mOperations.find(aKey);
+  if (found == mOperations.end() || found->second.mStage != OperationStage::Waiting) {
+    return;
+  }
+  const auto wait = PredictedWait(found->second, aGroup, aNow);
+  if (wait && aNow + *wait > ObjectiveLimit(found->second)) {
+    FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
+  }
+}
+
 void
 ProxyCore::ScheduleOperation(OperationKey aKey, TimePoint aAt)
 {
@@ -39,7 +107,15 @@
   // An operation that finds no connection blocks the later ones of its sort only.
   bool isPrimaryBlocked = false;
   bool areReadsBlocked = false;
-  const std::vector<OperationKey> waiting = aGroup.mWaiting;
+  std::vector<OperationKey> waiting = aGroup.mWaiting;
+  // What can still be answered in time goes first, then by priority, then by arrival.
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [&](OperationKey aLeft, OperationKey aRight) {
+      const Operation& left = mOperations.at(aLeft);
+      const Operation& right = mOperations.at(aRight);
+      return std::pair(left.mIsLate, left.mRoute.mPriority) <
+             std::pair(right.mIsLate, right.mRoute.mPriority);
+    });
   for (const OperationKey key : waiting) {
     const auto found = mOperations.find(key);
     if (found == mOperations.end()) {
@@ -178,8 +254,7 @@
         member.mLaggingUntil > aNow || aOperation.mRefusedBy.contains(id)) {
       continue;
     }
-    Duration cost =
-      member.mServiceTime * (member.mInFlight + 1) / std::max(member.mEntry.mSlots, 1U);
+    Duration cost = member.mServiceTime * (member.mInFlight + 1) / member.mWindow.Limit();
     if (member.mEntry.mZone != mSettings.mZone) {
       cost += kZonePenalty;
     }
@@ -203,8 +278,7 @@
                    const std::optional<LogPosition>& aAfter,
                    TimePoint aNow)
 {
-  if (aMember.mIdle.empty() ||
-      aMember.mInFlight >= aMember.mEntry.mSlots + kExtraInFlight) {
+  if (aMember.mIdle.empty() || aMember.mInFlight >= aMember.mWindow.Limit()) {
     return false;
   }
   const ConnectionKey connection = TakeIdle(aMember, mSessions.at(aOperation.mSession));
@@ -344,15 +418,7 @@
   }
   Operation& operation = found->second;
   if (operation.mStage == OperationStage::Waiting) {
-    if (aNow >= WaitLimit(operation)) {
-      FailOperation(aKey, AnswerCode::Busy, "no member could run it in time", aNow);
-    } else if (operation.mConnection && operation.mRetryAt <= aNow) {
-      ScheduleOperation(aKey, operation.mDeadline);
-      SendStatement(operation, std::nullopt, false, aNow);
-    } else if (operation.mRetryAt <= aNow) {
-      ScheduleOperation(aKey, WaitLimit(operation));
-      Dispatch(mGroups[operation.mGroup], aNow);
-    }
+    OnWaitingTimer(aKey, operation, aNow);
     return;
   }
   if (aNow < operation.mDeadline) {
@@ -363,6 +429,38 @@
   Discard(connection, aNow);
 }
 
+void
+ProxyCore::OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow)
+{
+  if (aNow >= WaitLimit(aOperation)) {
+    FailOperation(aKey, AnswerCode::Busy, "no member could run it in time", aNow);
+    return;
+  }
+  if (aOperation.mConnection) {
+    if (aOperation.mRetryAt <= aNow) {
+      ScheduleOperation(aKey, aOperation.mDeadline);
+      SendStatement(aOperation, std::nullopt, false, aNow);
+    }
+    return;
+  }
+  Group& group = mGroups[aOperation.mGroup];
+  const TimePoint objective = ObjectiveLimit(aOperation);
+  if (!aOperation.mIsLate && aNow >= objective) {
+    aOperation.mIsLate = true;
+    // Where others still can be answered in time, there is no room for late ones.
+    if (WaitingAhead(aOperation, group) > 0 && PredictedWait(aOperation, group, aNow)) {
+      FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
+      return;
+    }
+  }
+  ScheduleOperation(aKey,
+                    aOperation.mIsLate ? WaitLimit(aOperation)
+                                       : std::min(objective, WaitLimit(aOperation)));
+  if (aOperation.mRetryAt <= aNow) {
+    Dispatch(group, aNow);
+  }
+}
+
 void
 ProxyCore::FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow)
 {
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -190,6 +190,9 @@
     }
     const Duration took = aNow - aCommand.mSentAt;
     member.mServiceTime += (took - member.mServiceTime) / kServiceTimeWeight;
+    WorkEstimate& work = WorkOf(operation);
+    member.mWindow.OnAnswer(work.RatioOf(took), member.mEntry.mSlots, aNow);
+    work.Add(took);
     member.mLagBackoff = {};
     FinishSuccess(aKey, key, std::move(aReply), aNow);
     return;
@@ -266,6 +269,9 @@
                 { "code", std::string(AnswerName(aCode)) },
                 { "attempt", std::to_string(aOperation.mAttempts) } });
   aOperation.mRefusedBy.insert(aOperation.mMember);
+  if (aCode == AnswerCode::Busy) {
+    member.mWindow.OnOverload(aNow);
+  }
   if (aCode == AnswerCode::Lagging) {
     member.mLagBackoff =
       std::clamp(member.mLagBackoff * 2, kLagBackoffFirst, kLagBackoffMost);
--- a/src/libs/proxy/proxycore_sessions.cpp
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -252,10 +252,9 @@
     group.mLastBoundedRead = aNow;
   }
   group.mWaiting.push_back(key);
-  ScheduleOperation(key,
-                    aNow + std::chrono::duration_cast<Duration>(
-                             stored.mRoute.mStatementTimeout * kWaitShare));
+  ScheduleOperation(key, std::min(ObjectiveLimit(stored), WaitLimit(stored)));
   Dispatch(group, aNow);
+  RefuseHopeless(key, group, aNow);
 }
 
 void
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -49,8 +49,11 @@
 /** Reads are sent to at most this many members. */
 constexpr std::uint32_t kReadAttempts = 4;
 
-/** Statements of one instance at a member beyond its slots. */
-constexpr std::uint32_t kExtraInFlight = 1;
+/** Part of the latency objective after which a waiting statement can't be answered within
+ * it; the rest is for running it. */
+constexpr double kObjectiveShare = 0.8;
+/** Lower bound of a service time in predictions. */
+constexpr Duration kShortestService = 1ms;
 /** Assumed extra cost of a member in another zone: a round trip. */
 constexpr Duration kZonePenalty = 3ms;
 /** Assumed extra cost of reads at the primary, which alone can run writes. */
