Judge the queue at a member by the shortest latency objective

Change: ConcurrencyWindow compares the estimated waiting time with shares of the group's shortest objective.

--- a/src/libs/proxy/concurrencywindow.cpp
+++ b/src/libs/proxy/concurrencywindow.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-// Times spread widely: without a queue the mean is about twice the lower quartile.
-constexpr double kClearRatio = 3;
-constexpr double kCongestedRatio = 5;
-constexpr double kHighestRatio = 20;
-constexpr double kSmoothing = 0.1;
+// Parts of the latency objective: below the first the member has room, above the second
+// too little is left for waiting here and for the work.
+constexpr double kClearShare = 0.12;
+constexpr double kCongestedShare = 0.3;
+constexpr int kSmoothing = 10;
 constexpr double kRaise = 0.1;
 constexpr double kCutFactor = 0.8;
 // Statements sent before a cut still tell of the queue before it.
@@ -21,12 +21,16 @@
 } // namespace
 
 void
-ConcurrencyWindow::OnAnswer(double aRatio, std::uint32_t aSlots, TimePoint aNow)
+ConcurrencyWindow::OnAnswer(Duration aQueued,
+                            Duration aObjective,
+                            std::uint32_t aSlots,
+                            TimePoint aNow)
 {
-  mRatio += (std::min(aRatio, kHighestRatio) - mRatio) * kSmoothing;
-  if (mRatio > kCongestedRatio) {
+  // One outlier counts no more than a full objective.
+  mQueued += (std::clamp(aQueued, Duration::zero(), aObjective) - mQueued) / kSmoothing;
+  if (mQueued > aObjective * kCongestedShare) {
     Cut(aNow);
-  } else if (mRatio < kClearRatio) {
+  } else if (mQueued < aObjective * kClearShare) {
     mLimit = std::min(mLimit + kRaise, static_cast<double>(aSlots) + kBeyondSlots);
   }
 }
--- a/src/libs/proxy/concurrencywindow.h
+++ b/src/libs/proxy/concurrencywindow.h
@@ -18,10 +18,14 @@
   /**
    * Takes an answer.
    *
-   * @param aRatio how many times the usual time of its sort the statement took
+   * @param aQueued time that the statement probably waited at the member
+   * @param aObjective shortest latency objective of the group's routes
    * @param aSlots statements that the member runs at once
    */
-  void OnAnswer(double aRatio, std::uint32_t aSlots, TimePoint aNow);
+  void OnAnswer(Duration aQueued,
+                Duration aObjective,
+                std::uint32_t aSlots,
+                TimePoint aNow);
   /** Takes a refusal for overload. */
   void OnOverload(TimePoint aNow);
 
@@ -32,8 +36,8 @@
   void Cut(TimePoint aNow);
 
   double mLimit = 2;
-  /** Smoothed ratio of the answers. */
-  double mRatio = 2;
+  /** Smoothed time that statements waited. */
+  Duration mQueued{};
   TimePoint mLastCut;
 };
 
--- a/src/libs/proxy/group.h
+++ b/src/libs/proxy/group.h
@@ -17,6 +17,8 @@
 {
   GroupLimits mLimits;
   std::vector<std::string> mMembers;
+  /** Shortest latency objective of the group's routes. */
+  Duration mShortestObjective = std::chrono::milliseconds(200);
   PositionSamples mSamples{ kSampleWindow };
   /** Operations that wait for a connection, in the order of their arrival. */
   std::vector<OperationKey> mWaiting;
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -27,7 +27,14 @@
                 { "routes", std::to_string(aConfiguration.mRoutes.size()) } });
   mConfiguration = aConfiguration;
   for (const auto& [name, limits] : mConfiguration.mGroups) {
-    mGroups[name].mLimits = limits;
+    Group& group = mGroups[name];
+    group.mLimits = limits;
+    group.mShortestObjective = Duration::max();
+  }
+  for (const auto& [name, route] : mConfiguration.mRoutes) {
+    Group& group = mGroups[route.mGroup];
+    group.mShortestObjective =
+      std::min(group.mShortestObjective, route.mLatencyObjective);
   }
   for (auto& [name, group] : mGroups) {
     Dispatch(group, aNow);
@@ -167,6 +174,13 @@
   }
 }
 
+Duration
+ProxyCore::ShortestObjective(std::string_view aGroup) const
+{
+  const Group* group = FindGroup(aGroup);
+  return group == nullptr ? Duration::max() : group->mShortestObjective;
+}
+
 std::vector<std::string>
 ProxyCore::GroupNames() const
 {
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -167,6 +167,8 @@
   /** @return waiting operations that need the same members and go first */
   [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
                                          const Group& aGroup) const;
+  /** @return shortest latency objective of the group's routes */
+  [[nodiscard]] Duration ShortestObjective(std::string_view aGroup) const;
   WorkEstimate& WorkOf(const Operation& aOperation);
   void FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow);
   void FailOperation(OperationKey aKey,
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -191,7 +191,10 @@
     const Duration took = aNow - aCommand.mSentAt;
     member.mServiceTime += (took - member.mServiceTime) / kServiceTimeWeight;
     WorkEstimate& work = WorkOf(operation);
-    member.mWindow.OnAnswer(work.RatioOf(took), member.mEntry.mSlots, aNow);
+    member.mWindow.OnAnswer(work.QueuedOf(took),
+                            ShortestObjective(member.mEntry.mGroup),
+                            member.mEntry.mSlots,
+                            aNow);
     work.Add(took);
     member.mLagBackoff = {};
     FinishSuccess(aKey, key, std::move(aReply), aNow);
--- a/src/libs/proxy/workestimate.cpp
+++ b/src/libs/proxy/workestimate.cpp
@@ -10,6 +10,8 @@
 constexpr double kDownPerUp = 3;
 constexpr double kFirstStep = 0.02;
 constexpr double kLaterStep = 0.001;
+// Times spread widely: the mean is about twice the lower quartile.
+constexpr int kMeanPerQuartile = 2;
 // Larger steps until the estimate has settled.
 constexpr std::uint32_t kSettlingSamples = 150;
 
@@ -27,12 +29,10 @@
   mBase = std::chrono::duration_cast<Duration>(mBase * factor);
 }
 
-double
-WorkEstimate::RatioOf(Duration aTook) const
+Duration
+WorkEstimate::QueuedOf(Duration aTook) const
 {
-  return mBase > Duration::zero()
-           ? static_cast<double>(aTook.count()) / static_cast<double>(mBase.count())
-           : 1;
+  return aTook - mBase * kMeanPerQuartile;
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/workestimate.h
+++ b/src/libs/proxy/workestimate.h
@@ -14,8 +14,8 @@
   void Add(Duration aTook);
   /** @return the lower quartile of the times, which queues hardly touch */
   [[nodiscard]] Duration Base() const { return mBase; }
-  /** @return how many times the base a statement took; 1 before the first */
-  [[nodiscard]] double RatioOf(Duration aTook) const;
+  /** @return the part of the time that a statement probably waited in a queue */
+  [[nodiscard]] Duration QueuedOf(Duration aTook) const;
 
 private:
   Duration mBase{};
