--- a/src/libs/convert/convert.h
+++ b/src/libs/convert/convert.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common.pb.h"
-#include "core/error.h"
+#include "convert/converterror.h"
 #include "core/groupsettings.h"
 #include "core/groupview.h"
 #include "core/instanceinfo.h"
@@ -18,13 +18,6 @@
 /** @return the message as a position */
 LogPosition FromMessage(const v1::LogPosition& aMessage);
 
-/** @return the error's row of the answer table, with its message */
-v1::ErrorInfo ToMessage(const Error& aError);
-/** @return the error; Internal for an unknown kind */
-Error FromMessage(const v1::ErrorInfo& aMessage);
-/** @return the execution as a message value */
-v1::Execution ToMessage(Execution aExecution);
-
 /** @return the settings as a message */
 v1::GroupSettings ToMessage(const GroupSettings& aSettings);
 /** @return the message as settings */
--- a/src/libs/decision/routing/homeranking.cpp
+++ b/src/libs/decision/routing/homeranking.cpp
@@ -139,6 +139,14 @@
 
 std::vector<InstanceId>
 HomeRanking::Rank(const GroupSettings& aGroup, std::span<const InstanceInfo> aLive) const
+{
+  return Rank(aGroup, aLive, WantedHomes(aGroup));
+}
+
+std::vector<InstanceId>
+HomeRanking::Rank(const GroupSettings& aGroup,
+                  std::span<const InstanceInfo> aLive,
+                  std::size_t aWanted) const
 {
   const auto zones = MemberZones(aGroup);
   const auto zoneOf = [&](const InstanceInfo& aInfo) {
@@ -161,11 +169,10 @@
     const double weight = mWeight ? mWeight(info) : 1.0;
     ranked.push_back({ i, zone, Score(hash, weight), hash });
   }
-  const std::size_t wanted = WantedHomes(aGroup);
   const RankOrder ranksBefore(aLive);
-  KeepBest(ranked, wanted, zones.size() + 1, ranksBefore);
+  KeepBest(ranked, aWanted, zones.size() + 1, ranksBefore);
   SpreadOverZones(ranked);
-  ranked.resize(std::min(wanted, ranked.size()));
+  ranked.resize(std::min(aWanted, ranked.size()));
   std::sort(ranked.begin(), ranked.end(), ranksBefore);
   std::vector<InstanceId> homes;
   for (const auto& candidate : ranked) {
--- a/src/libs/decision/routing/homeranking.h
+++ b/src/libs/decision/routing/homeranking.h
@@ -39,6 +39,10 @@
    */
   [[nodiscard]] std::vector<InstanceId> Rank(const GroupSettings& aGroup,
                                              std::span<const InstanceInfo> aLive) const;
+  /** @param aWanted homes when there are enough candidates */
+  [[nodiscard]] std::vector<InstanceId> Rank(const GroupSettings& aGroup,
+                                             std::span<const InstanceInfo> aLive,
+                                             std::size_t aWanted) const;
 
 private:
   WeightHook mWeight;
--- /dev/null
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -0,0 +1,185 @@
+#include "forwarding/forwardclient.h"
+
+#include <utility>
+#include <vector>
+
+namespace papayaspindle {
+
+namespace {
+
+// Homes are in the same region: unacknowledged data for this long means a dead path.
+const StreamLiveness kLiveness{ std::chrono::milliseconds(400),
+                                std::chrono::seconds(1),
+                                std::chrono::seconds(1) };
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+constexpr std::size_t kMaxMessage = 4U << 20U;
+constexpr std::size_t kMaxProduce = 1U << 20U;
+
+} // namespace
+
+ForwardClient::ForwardClient(StreamTable& aStreams, ForwardClientHooks aHooks)
+  : mStreams(aStreams)
+  , mHooks(std::move(aHooks))
+{
+}
+
+ForwardClient::Link*
+ForwardClient::Connect(const std::string& aInstance, TimePoint aNow)
+{
+  const auto found = mLinks.find(aInstance);
+  if (found != mLinks.end()) {
+    return &found->second;
+  }
+  const std::optional<std::string> address = mHooks.mAddressOf(aInstance);
+  if (!address) {
+    return nullptr;
+  }
+  Link& link = mLinks[aInstance];
+  link.mOpenedAt = aNow;
+  Http2Hooks http;
+  http.mBeforeSend = [](std::int32_t) { return true; };
+  http.mOnReply = [this, aInstance](std::int32_t aStream, Result<std::string> aReply) {
+    OnReply(aInstance, aStream, aReply);
+  };
+  link.mSession = std::make_unique<Http2Session>(
+    Http2Session::Role::Client, kMaxMessage, std::move(http));
+  StreamHooks hooks;
+  hooks.mConnected = [this, aInstance](StreamKey) {
+    const auto connected = mLinks.find(aInstance);
+    if (connected != mLinks.end()) {
+      connected->second.mIsConnected = true;
+    }
+  };
+  hooks.mInput = [this, aInstance](StreamKey, std::string& aInput) {
+    OnInput(aInstance, aInput);
+  };
+  hooks.mEnded = [this, aInstance](StreamKey) { Drop(aInstance); };
+  link.mStream = mStreams.Connect(*address, kLiveness, hooks);
+  return &link;
+}
+
+void
+ForwardClient::Forward(const std::string& aInstance,
+                       proxy::OperationKey aOperation,
+                       const proxy::ForwardedStatement& aStatement,
+                       TimePoint aNow)
+{
+  Link* link = Connect(aInstance, aNow);
+  const std::int32_t stream =
+    link == nullptr
+      ? 0
+      : link->mSession->SubmitRequest(kStatementMethod, EncodeForwarded(aStatement), "");
+  if (stream == 0) {
+    mUnsent.emplace_back(aOperation, aInstance);
+    return;
+  }
+  link->mPending.emplace(stream, aOperation);
+}
+
+void
+ForwardClient::Cancel(proxy::OperationKey aOperation)
+{
+  for (auto& [instance, link] : mLinks) {
+    for (const auto& [stream, operation] : link.mPending) {
+      if (operation == aOperation) {
+        link.mSession->CancelRequest(stream);
+        link.mPending.erase(stream);
+        return;
+      }
+    }
+  }
+}
+
+void
+ForwardClient::EndSession(const std::string& aInstance, proxy::SessionKey aSession)
+{
+  const auto found = mLinks.find(aInstance);
+  if (found == mLinks.end()) {
+    // The home ends the transactions of a lost connection itself.
+    return;
+  }
+  proxy::ForwardedStatement end;
+  end.mSession = aSession;
+  found->second.mSession->SubmitRequest(kSessionEndMethod, EncodeForwarded(end), "");
+}
+
+void
+ForwardClient::OnReply(const std::string& aInstance,
+                       std::int32_t aStream,
+                       const Result<std::string>& aReply)
+{
+  Link& link = mLinks.at(aInstance);
+  const auto pending = link.mPending.find(aStream);
+  if (pending == link.mPending.end()) {
+    return;
+  }
+  const proxy::OperationKey operation = pending->second;
+  link.mPending.erase(pending);
+  std::optional<HomeAnswer> answer =
+    IsOk(aReply) ? DecodeAnswer(ValueOf(aReply)) : std::nullopt;
+  if (answer) {
+    mHooks.mAnswered(operation, std::move(*answer), aInstance);
+    return;
+  }
+  const bool isRefused = !IsOk(aReply) && ErrorOf(aReply).mKind == ErrorKind::Draining;
+  mHooks.mFailed(operation, !isRefused, aInstance);
+}
+
+void
+ForwardClient::OnInput(const std::string& aInstance, std::string& aInput)
+{
+  const auto found = mLinks.find(aInstance);
+  if (found == mLinks.end()) {
+    return;
+  }
+  const std::string bytes = std::exchange(aInput, {});
+  if (!found->second.mSession->Receive(bytes)) {
+    mStreams.Close(found->second.mStream);
+    Drop(aInstance);
+  }
+}
+
+void
+ForwardClient::Drop(const std::string& aInstance)
+{
+  const auto found = mLinks.find(aInstance);
+  if (found == mLinks.end()) {
+    return;
+  }
+  const Link link = std::move(found->second);
+  mLinks.erase(found);
+  for (const auto& [stream, operation] : link.mPending) {
+    mHooks.mFailed(operation, link.mIsConnected, aInstance);
+  }
+}
+
+void
+ForwardClient::Flush(TimePoint aNow)
+{
+  const auto unsent = std::exchange(mUnsent, {});
+  for (const auto& [operation, instance] : unsent) {
+    mHooks.mFailed(operation, false, instance);
+  }
+  std::vector<std::string> broken;
+  for (auto& [instance, link] : mLinks) {
+    if (!link.mIsConnected) {
+      if (aNow - link.mOpenedAt > kConnectTimeout) {
+        broken.push_back(instance);
+      }
+      continue;
+    }
+    std::string output;
+    if (!link.mSession->Produce(output, kMaxProduce)) {
+      broken.push_back(instance);
+    }
+    if (!output.empty()) {
+      mStreams.Write(link.mStream, output);
+    }
+  }
+  for (const std::string& instance : broken) {
+    mStreams.Close(mLinks.at(instance).mStream);
+    Drop(instance);
+  }
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -0,0 +1,154 @@
+#include "forwarding/forwardserver.h"
+
+#include <utility>
+#include <vector>
+
+namespace papayaspindle {
+
+namespace {
+
+// Keys of the streams of an instance's own clients stay far below.
+constexpr proxy::SessionKey kFirstForwarded = 1ULL << 62U;
+const StreamLiveness kLiveness{ std::chrono::milliseconds(1000),
+                                std::chrono::seconds(2),
+                                std::chrono::seconds(1) };
+constexpr std::size_t kMaxMessage = 4U << 20U;
+constexpr std::size_t kMaxProduce = 1U << 20U;
+
+} // namespace
+
+ForwardServer::ForwardServer(StreamTable& aStreams, ForwardServerHooks aHooks)
+  : mStreams(aStreams)
+  , mHooks(std::move(aHooks))
+  , mNextSession(kFirstForwarded)
+{
+}
+
+bool
+ForwardServer::IsForwarded(proxy::SessionKey aSession)
+{
+  return aSession >= kFirstForwarded;
+}
+
+void
+ForwardServer::Listen(const std::string& aAddress)
+{
+  StreamHooks hooks;
+  hooks.mInput = [this](StreamKey aKey, std::string& aInput) { OnInput(aKey, aInput); };
+  hooks.mEnded = [this](StreamKey aKey) { OnEnded(aKey); };
+  mStreams.Listen(
+    aAddress, kLiveness, hooks, [this](StreamKey aKey) { OnAccepted(aKey); });
+}
+
+void
+ForwardServer::OnAccepted(StreamKey aStream)
+{
+  Http2Hooks http;
+  http.mOnRequest = [this, aStream](std::int32_t aRequest, const PeerRequest& aMessage) {
+    OnRequest(aStream, aRequest, aMessage);
+  };
+  mLinks[aStream].mSession = std::make_unique<Http2Session>(
+    Http2Session::Role::Server, kMaxMessage, std::move(http));
+}
+
+void
+ForwardServer::OnInput(StreamKey aStream, std::string& aInput)
+{
+  const auto found = mLinks.find(aStream);
+  if (found == mLinks.end()) {
+    return;
+  }
+  const std::string bytes = std::exchange(aInput, {});
+  if (!found->second.mSession->Receive(bytes)) {
+    mStreams.Close(aStream);
+    OnEnded(aStream);
+  }
+}
+
+void
+ForwardServer::OnRequest(StreamKey aStream,
+                         std::int32_t aRequest,
+                         const PeerRequest& aMessage)
+{
+  Link& link = mLinks.at(aStream);
+  std::optional<proxy::ForwardedStatement> statement = DecodeForwarded(aMessage.mBody);
+  if (!statement) {
+    link.mSession->SubmitReply(
+      aRequest, Error{ ErrorKind::MalformedRequest, "the statement can't be read" });
+    return;
+  }
+  const auto known = link.mSessions.find(statement->mSession);
+  if (aMessage.mMethod == kSessionEndMethod) {
+    link.mSession->SubmitReply(aRequest, std::string());
+    if (known != link.mSessions.end()) {
+      const proxy::SessionKey session = known->second;
+      link.mSessions.erase(known);
+      mSessions.erase(session);
+      mHooks.mSessionEnded(session);
+    }
+    return;
+  }
+  const proxy::SessionKey session =
+    known == link.mSessions.end() ? mNextSession++ : known->second;
+  link.mSessions[statement->mSession] = session;
+  mSessions[session] = { aStream, statement->mSession, aRequest };
+  mHooks.mStatement(session, std::move(*statement));
+}
+
+void
+ForwardServer::Answer(proxy::SessionKey aSession, const proxy::ClientAnswer& aAnswer)
+{
+  const auto found = mSessions.find(aSession);
+  if (found == mSessions.end()) {
+    return;
+  }
+  const RemoteSession session = found->second;
+  found->second.mRequest = 0;
+  const auto link = mLinks.find(session.mStream);
+  if (link == mLinks.end()) {
+    return;
+  }
+  if (aAnswer.mState != proxy::TransactionState::Open) {
+    // Nothing of the session is kept outside a transaction.
+    link->second.mSessions.erase(session.mEntryKey);
+    mSessions.erase(found);
+  }
+  link->second.mSession->SubmitReply(session.mRequest,
+                                     EncodeAnswer(aAnswer, mHooks.mIsLeaving()));
+}
+
+void
+ForwardServer::OnEnded(StreamKey aStream)
+{
+  const auto found = mLinks.find(aStream);
+  if (found == mLinks.end()) {
+    return;
+  }
+  const Link link = std::move(found->second);
+  mLinks.erase(found);
+  for (const auto& [entryKey, session] : link.mSessions) {
+    mSessions.erase(session);
+    mHooks.mSessionEnded(session);
+  }
+}
+
+void
+ForwardServer::Flush()
+{
+  std::vector<StreamKey> broken;
+  for (auto& [stream, link] : mLinks) {
+    std::string output;
+    if (!link.mSession->Produce(output, kMaxProduce)) {
+      broken.push_back(stream);
+    }
+    if (!output.empty()) {
+      mStreams.Write(stream, output);
+    }
+  }
+  for (const StreamKey stream : broken) {
+    mStreams.Close(stream);
+    OnEnded(stream);
+  }
+}
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/forwarding/forwardserver.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "eventloop/streamtable.h"
+#include "forwarding/forwardcodec.h"
+#include "transport/http2session.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace papayaspindle {
+
+/** What other instances ask of this home. */
+struct ForwardServerHooks
+{
+  std::function<void(proxy::SessionKey, proxy::ForwardedStatement)> mStatement;
+  /** The session's client is gone, or its transaction over. */
+  std::function<void(proxy::SessionKey)> mSessionEnded;
+  /** @return whether this instance leaves soon */
+  std::function<bool()> mIsLeaving;
+};
+
+/** Takes statements of other instances. */
+class ForwardServer
+{
+public:
+  ForwardServer(StreamTable& aStreams, ForwardServerHooks aHooks);
+
+  /** @throws Poco::Exception when the address can't be listened at */
+  void Listen(const std::string& aAddress);
+  /** @return whether the key is one of this class */
+  static bool IsForwarded(proxy::SessionKey aSession);
+  /** Answers the statement of a session. */
+  void Answer(proxy::SessionKey aSession, const proxy::ClientAnswer& aAnswer);
+  /** Hands what is queued to the streams; called once for each turn of the loop. */
+  void Flush();
+
+private:
+  /** A client's session at one entry instance. */
+  struct RemoteSession
+  {
+    StreamKey mStream = 0;
+    proxy::SessionKey mEntryKey = 0;
+    /** HTTP/2 stream of the unanswered statement; 0 for none. */
+    std::int32_t mRequest = 0;
+  };
+
+  struct Link
+  {
+    std::unique_ptr<Http2Session> mSession;
+    /** By the entry instance's key. */
+    std::map<proxy::SessionKey, proxy::SessionKey> mSessions;
+  };
+
+  void OnAccepted(StreamKey aStream);
+  void OnInput(StreamKey aStream, std::string& aInput);
+  void OnEnded(StreamKey aStream);
+  void OnRequest(StreamKey aStream, std::int32_t aRequest, const PeerRequest& aMessage);
+
+  StreamTable& mStreams;
+  ForwardServerHooks mHooks;
+  std::map<StreamKey, Link> mLinks;
+  std::unordered_map<proxy::SessionKey, RemoteSession> mSessions;
+  proxy::SessionKey mNextSession;
+};
+
+} // namespace papayaspindle
--- /dev/null
+++ b/src/libs/proxy/hometable.cpp
@@ -0,0 +1,140 @@
+#include "proxy/hometable.h"
+
+#include "core/stablehash.h"
+
+#include <algorithm>
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+// Up to so many instances can share the slots of a member without a hop between them.
+constexpr std::size_t kDirectInstances = 12;
+// One in each zone where there are up to four, and a spare one for the loss of a home.
+constexpr std::size_t kHomes = 4;
+constexpr Duration kAvoidance = std::chrono::milliseconds(1000);
+
+} // namespace
+
+HomeTable::HomeTable(std::string aInstance, std::string aZone)
+  : mInstance(std::move(aInstance))
+  , mZone(std::move(aZone))
+  , mRanking([this](const InstanceInfo& aInfo) {
+    const auto found = mInstances.find(aInfo.mInstance.Text());
+    return found == mInstances.end() ? 1.0 : found->second.mWeight;
+  })
+{
+}
+
+void
+HomeTable::SetInstances(std::span<const RegisteredInstance> aInstances)
+{
+  mInstances.clear();
+  mHomes.clear();
+  for (const RegisteredInstance& instance : aInstances) {
+    mInstances[instance.mInstance] = instance;
+  }
+}
+
+const std::vector<std::string>&
+HomeTable::HomesOf(std::string_view aGroup) const
+{
+  const auto found = mHomes.find(aGroup);
+  if (found != mHomes.end()) {
+    return found->second;
+  }
+  GroupSettings group;
+  group.mGroup = GroupId(std::string(aGroup));
+  std::set<std::string> zones;
+  std::vector<InstanceInfo> live;
+  for (const auto& [name, instance] : mInstances) {
+    InstanceInfo info;
+    info.mInstance = InstanceId(name);
+    info.mAvailabilityZone = AvailabilityZone(instance.mZone);
+    info.mLiveness = instance.mIsLeaving ? Liveness::Leaving : Liveness::Alive;
+    live.push_back(std::move(info));
+    if (zones.insert(instance.mZone).second) {
+      group.mMembers.push_back(
+        { MemberId(instance.mZone), "", AvailabilityZone(instance.mZone), false });
+    }
+  }
+  std::vector<std::string> homes;
+  for (const InstanceId& home : mRanking.Rank(group, live, kHomes)) {
+    homes.push_back(home.Text());
+  }
+  return mHomes.emplace(std::string(aGroup), std::move(homes)).first->second;
+}
+
+bool
+HomeTable::IsHome(std::string_view aGroup) const
+{
+  if (mInstances.size() <= kDirectInstances) {
+    return !mInstances.empty();
+  }
+  const std::vector<std::string>& homes = HomesOf(aGroup);
+  return std::find(homes.begin(), homes.end(), mInstance) != homes.end();
+}
+
+std::uint32_t
+HomeTable::HomeCount(std::string_view aGroup) const
+{
+  const std::size_t count =
+    mInstances.size() <= kDirectInstances ? mInstances.size() : HomesOf(aGroup).size();
+  return static_cast<std::uint32_t>(std::max<std::size_t>(count, 1));
+}
+
+bool
+HomeTable::IsHomeOfAny(std::span<const std::string> aGroups) const
+{
+  return std::any_of(aGroups.begin(), aGroups.end(), [&](const std::string& aGroup) {
+    return IsHome(aGroup);
+  });
+}
+
+std::optional<std::string>
+HomeTable::PickHome(std::string_view aGroup,
+                    const std::set<std::string>& aExcluded,
+                    TimePoint aNow) const
+{
+  std::optional<std::string> best;
+  std::pair<int, std::uint64_t> bestRank;
+  for (const std::string& home : HomesOf(aGroup)) {
+    if (aExcluded.contains(home)) {
+      continue;
+    }
+    const auto avoided = mAvoidUntil.find(home);
+    const bool isAvoided = avoided != mAvoidUntil.end() && avoided->second > aNow;
+    const auto instance = mInstances.find(home);
+    const bool isNear = instance != mInstances.end() && instance->second.mZone == mZone;
+    // Instances of one zone spread over the homes of the others.
+    const std::pair rank{ (isAvoided ? 2 : 0) + (isNear ? 0 : 1),
+                          StableHash({ mInstance, home, aGroup }) };
+    if (!best || rank < bestRank) {
+      best = home;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+std::optional<std::string>
+HomeTable::AddressOf(std::string_view aInstance) const
+{
+  const auto found = mInstances.find(aInstance);
+  return found == mInstances.end() ? std::nullopt
+                                   : std::optional(found->second.mPeerAddress);
+}
+
+void
+HomeTable::Avoid(const std::string& aInstance, TimePoint aNow)
+{
+  mAvoidUntil[aInstance] = aNow + kAvoidance;
+}
+
+void
+HomeTable::OnAnswer(const std::string& aInstance)
+{
+  mAvoidUntil.erase(aInstance);
+}
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -1,6 +1,10 @@
 #include "proxy/instanceregistry.h"
 
-#include <algorithm>
+#include <fmt/format.h>
+
+#include <optional>
+#include <sstream>
+#include <vector>
 
 namespace papayaspindle::proxy {
 
@@ -14,19 +18,58 @@
 // Three beats of another instance.
 constexpr Duration kRowLasts = std::chrono::seconds(10);
 
+// Few instances can afford to be exact; many beat less often.
+constexpr std::size_t kManyInstances = 12;
+constexpr Duration kSlowBeat = std::chrono::seconds(6);
+constexpr Duration kSlowRowLasts = std::chrono::seconds(20);
+
+std::string
+EncodeInstance(const RegisteredInstance& aInstance, std::uint64_t aBeat)
+{
+  return fmt::format("{} {} {} {} {}",
+                     aInstance.mZone,
+                     aInstance.mPeerAddress,
+                     aInstance.mWeight,
+                     aInstance.mIsLeaving ? "leaving" : "serving",
+                     aBeat);
+}
+
+std::optional<RegisteredInstance>
+DecodeInstance(const StoredRow& aRow)
+{
+  std::istringstream words(aRow.mValue);
+  RegisteredInstance instance;
+  std::string state;
+  instance.mInstance = aRow.mKey;
+  if (!(words >> instance.mZone >> instance.mPeerAddress >> instance.mWeight >> state)) {
+    return std::nullopt;
+  }
+  instance.mIsLeaving = state == "leaving";
+  return instance;
+}
+
 } // namespace
 
-InstanceRegistry::InstanceRegistry(std::string aInstance,
+InstanceRegistry::InstanceRegistry(RegisteredInstance aSelf,
                                    SharedStore aStore,
                                    std::function<TimePoint()> aNow,
-                                   CountHook aHook)
-  : mInstance(std::move(aInstance))
+                                   ChangedHook aHook)
+  : mSelf(std::move(aSelf))
   , mStore(std::move(aStore))
   , mNow(std::move(aNow))
   , mHook(std::move(aHook))
 {
 }
 
+void
+InstanceRegistry::Leave()
+{
+  if (!mSelf.mIsLeaving) {
+    mSelf.mIsLeaving = true;
+    WriteRow();
+  }
+}
+
 void
 InstanceRegistry::OnTimer(TimePoint aNow)
 {
@@ -34,7 +77,8 @@
     return;
   }
   mBeats++;
-  mNextBeat = aNow + (mBeats <= kFirstBeatCount ? kFirstBeats : kBeatInterval);
+  const Duration usual = mSeen.size() > kManyInstances ? kSlowBeat : kBeatInterval;
+  mNextBeat = aNow + (mBeats <= kFirstBeatCount ? kFirstBeats : usual);
   mStore.mRead(kInstanceTable, [this](const ReadResult& aResult) { OnRead(aResult); });
 }
 
@@ -43,27 +87,37 @@
 {
   const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
   if (snapshot == nullptr) {
+    // The caller of the store has logged its loss; the last list stands.
     return;
   }
   const TimePoint now = mNow();
   mOwnRevision = 0;
   for (const StoredRow& row : snapshot->mRows) {
-    if (row.mKey == mInstance) {
+    if (row.mKey == mSelf.mInstance) {
       mOwnRevision = row.mRevision;
       continue;
     }
+    const auto instance = DecodeInstance(row);
     Seen& seen = mSeen[row.mKey];
-    if (seen.mRevision != row.mRevision) {
-      seen = { row.mRevision, now };
+    if (instance && seen.mRevision != row.mRevision) {
+      seen = { row.mRevision, now, *instance };
     }
   }
-  const auto others = std::count_if(mSeen.begin(), mSeen.end(), [&](const auto& aEntry) {
-    return now - aEntry.second.mChangedAt < kRowLasts;
-  });
-  const auto count = static_cast<std::uint32_t>(others) + 1;
-  if (count != mCount) {
-    mCount = count;
-    mHook(count);
+  const Duration lasts = mSeen.size() > kManyInstances ? kSlowRowLasts : kRowLasts;
+  std::vector<RegisteredInstance> live{ mSelf };
+  std::string report;
+  for (const auto& [name, seen] : mSeen) {
+    if (now - seen.mChangedAt < lasts) {
+      live.push_back(seen.mInstance);
+      report += EncodeInstance(seen.mInstance, 0) + name + ";";
+    }
+  }
+  // When all instances start together, the first read finds no others.
+  const bool isComplete = mBeats > 1 || !mSeen.empty();
+  if (isComplete && (report != mReported || !mHasReported)) {
+    mReported = report;
+    mHasReported = true;
+    mHook(live);
   }
   WriteRow();
 }
@@ -73,11 +127,15 @@
 {
   StoredRow row;
   row.mTable = kInstanceTable;
-  row.mKey = mInstance;
-  row.mValue = std::to_string(mBeats);
+  row.mKey = mSelf.mInstance;
+  row.mValue = EncodeInstance(mSelf, mBeats);
   row.mRevision = mOwnRevision;
   // A lost write is made up for by the next beat.
-  mStore.mWrite({ row }, [](const WriteResult&) {});
+  mStore.mWrite({ row }, [this](const WriteResult& aResult) {
+    if (const auto* written = std::get_if<Written>(&aResult)) {
+      mOwnRevision = written->mRevision;
+    }
+  });
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/timetypes.h"
+#include "proxy/hometable.h"
 #include "proxy/rowstore.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,46 +17,50 @@
 inline constexpr std::string_view kInstanceTable = "papayaspindle-instances";
 
 /**
- * Counts the instances that share the members' connections.
+ * Finds the other instances.
  *
  * Each instance rewrites its row in the shared store and reads all rows now and then; an
- * instance counts while its row changes. While the store is away, the last count stands.
+ * instance counts while its row changes. While the store is away, the last list stands.
  */
 class InstanceRegistry
 {
 public:
-  /** Takes the number of instances when it changes. */
-  using CountHook = std::function<void(std::uint32_t)>;
+  /** Takes the instances that live when they change, this one included. */
+  using ChangedHook = std::function<void(std::span<const RegisteredInstance>)>;
 
-  InstanceRegistry(std::string aInstance,
+  InstanceRegistry(RegisteredInstance aSelf,
                    SharedStore aStore,
                    std::function<TimePoint()> aNow,
-                   CountHook aHook);
+                   ChangedHook aHook);
+
+  /** Tells the others that this instance leaves. */
+  void Leave();
 
   void OnTimer(TimePoint aNow);
   /** @return when OnTimer is due */
   [[nodiscard]] TimePoint NextTimer() const { return mNextBeat; }
-  /** @return instances that count, this one included */
-  [[nodiscard]] std::uint32_t Count() const { return mCount; }
 
 private:
   struct Seen
   {
     std::uint64_t mRevision = 0;
     TimePoint mChangedAt;
+    RegisteredInstance mInstance;
   };
 
   void WriteRow();
   void OnRead(const ReadResult& aResult);
 
-  std::string mInstance;
+  RegisteredInstance mSelf;
   SharedStore mStore;
   std::function<TimePoint()> mNow;
-  CountHook mHook;
+  ChangedHook mHook;
   std::map<std::string, Seen> mSeen;
   std::uint64_t mOwnRevision = 0;
   std::uint64_t mBeats = 0;
-  std::uint32_t mCount = 0;
+  /** What the hook was given last, as text. */
+  std::string mReported;
+  bool mHasReported = false;
   TimePoint mNextBeat;
 };
 
--- a/src/libs/proxy/operation.h
+++ b/src/libs/proxy/operation.h
@@ -33,6 +33,8 @@
   Beginning,
   /** The statement was sent. */
   Running,
+  /** A home of the group has it. */
+  Forwarded,
 };
 
 /** A client's statement on its way to a member and back. */
@@ -55,6 +57,10 @@
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   TimePoint mSentAt;
+  /** Home that has it, or had it last. */
+  std::string mHome;
+  /** Homes that refused it or could not be reached. */
+  std::set<std::string> mRefusedHomes;
   /** Member of the current attempt. */
   std::string mMember;
   std::optional<ConnectionKey> mConnection;
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -107,9 +107,11 @@
 }
 
 void
-ProxyCore::SetInstanceCount(std::uint32_t aCount)
+ProxyCore::OnHomesChanged(TimePoint aNow)
 {
-  mInstanceCount = std::max<std::uint32_t>(aCount, 1);
+  for (auto& [name, group] : mGroups) {
+    Dispatch(group, aNow);
+  }
 }
 
 void
@@ -160,8 +162,10 @@
 {
   std::vector<SessionKey> idle;
   for (auto& [key, session] : mSessions) {
-    const bool rests = session.mState == TransactionState::Open && !session.mOperation &&
-                       session.mTransaction->mConnection;
+    const bool isHeld = session.mTransaction && (session.mTransaction->mConnection ||
+                                                 !session.mTransaction->mHome.empty());
+    const bool rests =
+      session.mState == TransactionState::Open && !session.mOperation && isHeld;
     if (rests && aNow - session.mLastActivity > mConfiguration.mTransactionIdle) {
       AbortTransaction(key, session, "transaction idle too long", aNow);
     }
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -52,14 +52,25 @@
   void OnConnectionFailed(ConnectionKey aConnection, TimePoint aNow);
   void OnReply(ConnectionKey aConnection, MemberReply aReply, TimePoint aNow);
 
+  // Other instances
+
+  /** A client of another instance sends a statement for a group of which this instance is
+   * a home. Answered through mAnswer with the same key. */
+  void OnForwarded(SessionKey aSession, ForwardedStatement aStatement, TimePoint aNow);
+  /** A home has answered an operation. */
+  void OnForwardAnswer(OperationKey aOperation, ClientAnswer aAnswer, TimePoint aNow);
+  /** A home can't be reached any more. @param aWasSent whether it may have the statement
+   */
+  void OnForwardFailed(OperationKey aOperation, bool aWasSent, TimePoint aNow);
+
   // Control
 
   /** Takes a newer version; an older one is ignored. */
   void OnConfiguration(const ProxyConfiguration& aConfiguration, TimePoint aNow);
   /** Takes all members that the directory lists now. */
   void OnDirectory(std::span<const MemberEntry> aEntries, TimePoint aNow);
-  /** @param aCount instances that share the members' connections, this one included */
-  void SetInstanceCount(std::uint32_t aCount);
+  /** The answers of mIsHome, mHomeCount and mPickHome may have changed. */
+  void OnHomesChanged(TimePoint aNow);
   /** Stops in the order that the grace allows. */
   void StartDrain(TimePoint aNow);
   void OnTimer(TimePoint aNow);
@@ -103,13 +114,14 @@
   // proxycore_sessions.cpp
   void Handle(SessionKey aKey, Session& aSession, Statement aStatement, TimePoint aNow);
   void HandleLocal(SessionKey aKey, Session& aSession, const Statement& aStatement);
-  void HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite, TimePoint aNow);
+  void HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite);
   void HandleRollback(SessionKey aKey, Session& aSession, TimePoint aNow);
   void HandleFailedState(SessionKey aKey, Session& aSession, const Statement& aStatement);
   void StartOperation(SessionKey aKey,
                       Session& aSession,
                       Statement aStatement,
                       TimePoint aNow);
+  void Submit(OperationKey aKey, Operation& aOperation, TimePoint aNow);
   void Answer(SessionKey aKey, Session& aSession, ClientAnswer aAnswer);
   void AnswerError(SessionKey aKey,
                    Session& aSession,
@@ -119,12 +131,17 @@
   void RunBacklog(SessionKey aKey, TimePoint aNow);
   void CloseWhenDraining(SessionKey aKey, TimePoint aNow);
   /** Ends the session's hold on its transaction's connection. */
-  void ReleaseTransaction(Session& aSession, TimePoint aNow);
+  void ReleaseTransaction(SessionKey aKey, Session& aSession, TimePoint aNow);
   void AbortTransaction(SessionKey aKey,
                         Session& aSession,
                         std::string_view aWhy,
                         TimePoint aNow);
 
+  // proxycore_forwarding.cpp
+  void Forward(OperationKey aKey, Operation& aOperation, TimePoint aNow);
+  void FinishForwarded(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow);
+  void EndForwardedSession(SessionKey aKey);
+
   // proxycore_operations.cpp
   void Dispatch(Group& aGroup, TimePoint aNow);
   bool TryStart(OperationKey aKey, Operation& aOperation, Group& aGroup, TimePoint aNow);
@@ -260,8 +277,6 @@
   std::array<WorkEstimate, 6> mWork;
   OperationKey mNextOperation = 1;
   ConnectionKey mNextConnection = 1;
-  /** Until the instances are counted, shares are cautious. */
-  std::uint32_t mInstanceCount = 8;
   TimePoint mNextMaintenance;
   std::optional<TimePoint> mDrainStart;
 };
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -16,7 +16,8 @@
 std::uint32_t
 ProxyCore::BaseShare(const Group& aGroup) const
 {
-  return std::max(aGroup.mLimits.mMaxConnections / mInstanceCount, 1U);
+  const std::uint32_t homes = std::max(mHooks.mHomeCount(aGroup.mLimits.mName), 1U);
+  return std::max(aGroup.mLimits.mMaxConnections / homes, 1U);
 }
 
 bool
@@ -280,8 +281,9 @@
   std::vector<ConnectionKey> surplus;
   for (auto& [id, member] : mMembers) {
     const Group* group = FindGroup(member.mEntry.mGroup);
-    const bool isKept =
-      IsUsable(member) && group != nullptr && !group->mLimits.mName.empty();
+    const bool isKept = IsUsable(member) && group != nullptr &&
+                        !group->mLimits.mName.empty() &&
+                        mHooks.mIsHome(group->mLimits.mName);
     std::uint32_t connections = member.mConnections;
     for (const ConnectionKey key : member.mIdle) {
       const Duration unused = aNow - mConnections.at(key).mLastUsed;
--- /dev/null
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -0,0 +1,210 @@
+#include "proxy/proxycore.h"
+
+#include "proxy/proxytimes.h"
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+// Homes that a statement is offered to before it is refused.
+constexpr std::size_t kHomeAttempts = 2;
+// The home answers at the deadline; its answer needs the way back.
+constexpr Duration kHomeMargin = std::chrono::milliseconds(50);
+
+} // namespace
+
+void
+ProxyCore::Forward(OperationKey aKey, Operation& aOperation, TimePoint aNow)
+{
+  Session& session = mSessions.at(aOperation.mSession);
+  std::string home = session.mTransaction ? session.mTransaction->mHome : std::string();
+  if (home.empty()) {
+    const auto picked =
+      session.mIsForwarded || aOperation.mRefusedHomes.size() >= kHomeAttempts
+        ? std::nullopt
+        : mHooks.mPickHome(aOperation.mGroup, aOperation.mRefusedHomes, aNow);
+    if (!picked) {
+      FailOperation(aKey, AnswerCode::Busy, "no home of the group can be reached", aNow);
+      return;
+    }
+    home = *picked;
+  }
+  ForwardedStatement forwarded;
+  forwarded.mSession = aOperation.mSession;
+  forwarded.mRoute = aOperation.mRoute;
+  forwarded.mStatement = aOperation.mStatement;
+  forwarded.mPurpose = aOperation.mPurpose;
+  forwarded.mMayWrite = session.mTransaction && session.mTransaction->mMayWrite;
+  forwarded.mWrites = aOperation.mWrites;
+  forwarded.mValues = session.mValues;
+  forwarded.mLastCommit = session.mLastCommit;
+  forwarded.mWaited = aNow - aOperation.mArrivedAt;
+  if (aOperation.mStatement.mKind == StatementKind::Execute) {
+    forwarded.mPrepared = session.mPrepared.find(aOperation.mStatement.mName)->second;
+  }
+  if (session.mTransaction && aOperation.mWrites) {
+    session.mTransaction->mWrote = true;
+  }
+  aOperation.mStage = OperationStage::Forwarded;
+  aOperation.mHome = home;
+  aOperation.mAttempts++;
+  aOperation.mSentAt = aNow;
+  ScheduleOperation(aKey, aOperation.mDeadline + kHomeMargin);
+  aOperation.mDeadline += kHomeMargin;
+  mHooks.mCount("statement_forwarded");
+  mHooks.mForward(home, aKey, forwarded);
+}
+
+void
+ProxyCore::OnForwardAnswer(OperationKey aOperation, ClientAnswer aAnswer, TimePoint aNow)
+{
+  const auto found = mOperations.find(aOperation);
+  if (found == mOperations.end() || found->second.mStage != OperationStage::Forwarded) {
+    return;
+  }
+  Operation& operation = found->second;
+  const bool isFresh = operation.mPurpose != OperationPurpose::TransactionNext;
+  if (aAnswer.mError == AnswerCode::Busy && isFresh &&
+      operation.mRefusedHomes.size() + 1 < kHomeAttempts &&
+      aNow < operation.mArrivedAt + operation.mRoute.mLatencyObjective / 2) {
+    operation.mRefusedHomes.insert(operation.mHome);
+    Session& session = mSessions.at(operation.mSession);
+    if (session.mTransaction) {
+      session.mTransaction->mWrote = false;
+    }
+    Forward(aOperation, operation, aNow);
+    return;
+  }
+  FinishForwarded(aOperation, std::move(aAnswer), aNow);
+}
+
+void
+ProxyCore::FinishForwarded(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow)
+{
+  const Operation& operation = mOperations.at(aKey);
+  Session& session = mSessions.at(operation.mSession);
+  const bool isCommit = operation.mStatement.mKind == StatementKind::Commit;
+  const bool inTransaction = InTransaction(operation);
+  if (aAnswer.mError) {
+    if (inTransaction) {
+      session.mTransaction.reset();
+      session.mState = isCommit ? TransactionState::Idle : TransactionState::Failed;
+    }
+  } else if (isCommit) {
+    if (session.mTransaction && session.mTransaction->mWrote && aAnswer.mPosition) {
+      session.mLastCommit = aAnswer.mPosition;
+    }
+    session.mTransaction.reset();
+    session.mState = TransactionState::Idle;
+  } else if (inTransaction) {
+    session.mTransaction->mHome = operation.mHome;
+  } else if (operation.mWrites && aAnswer.mPosition) {
+    session.mLastCommit = aAnswer.mPosition;
+  }
+  FinishOperation(aKey, std::move(aAnswer), aNow);
+}
+
+void
+ProxyCore::OnForwardFailed(OperationKey aOperation, bool aWasSent, TimePoint aNow)
+{
+  const auto found = mOperations.find(aOperation);
+  if (found == mOperations.end() || found->second.mStage != OperationStage::Forwarded) {
+    return;
+  }
+  Operation& operation = found->second;
+  Session& session = mSessions.at(operation.mSession);
+  const bool inTransaction = InTransaction(operation);
+  const bool isFirst = operation.mPurpose == OperationPurpose::TransactionFirst;
+  const bool isRepeatable =
+    !aWasSent ||
+    (!operation.mWrites && operation.mStatement.mKind != StatementKind::Commit);
+  mHooks.mLog(LogLevel::Info,
+              "home_lost",
+              { { "id", operation.mStatement.mId },
+                { "home", operation.mHome },
+                { "sent", aWasSent ? "yes" : "no" } });
+  operation.mRefusedHomes.insert(operation.mHome);
+  if (isRepeatable && (!inTransaction || isFirst) && aNow < WaitLimit(operation)) {
+    if (session.mTransaction) {
+      session.mTransaction->mWrote = false;
+    }
+    Forward(aOperation, operation, aNow);
+    return;
+  }
+  const bool mayHaveCommitted =
+    aWasSent && (inTransaction ? operation.mStatement.mKind == StatementKind::Commit &&
+                                   session.mTransaction && session.mTransaction->mWrote
+                               : operation.mWrites);
+  AnswerCode code = AnswerCode::Busy;
+  if (mayHaveCommitted) {
+    code = AnswerCode::Unknown;
+  } else if (inTransaction) {
+    code = AnswerCode::Aborted;
+  } else if (aWasSent) {
+    code = AnswerCode::Timeout;
+  }
+  FailOperation(aOperation, code, "home did not answer", aNow);
+}
+
+void
+ProxyCore::OnForwarded(SessionKey aSession, ForwardedStatement aStatement, TimePoint aNow)
+{
+  Session& session = mSessions[aSession];
+  session.mIsForwarded = true;
+  session.mLastActivity = aNow;
+  session.mDatabase = aStatement.mRoute.mDatabase;
+  session.mValues = std::move(aStatement.mValues);
+  session.mLastCommit = aStatement.mLastCommit;
+  const bool isNext = aStatement.mPurpose == OperationPurpose::TransactionNext;
+  const bool isFirst = aStatement.mPurpose == OperationPurpose::TransactionFirst;
+  const bool isHeld = session.mTransaction && session.mTransaction->mConnection;
+  if (session.mOperation || (isNext && !isHeld) || !mConfiguration.mVersion) {
+    ClientAnswer refusal;
+    refusal.mError = isNext ? AnswerCode::Aborted : AnswerCode::Busy;
+    refusal.mText = "transaction not open at its home";
+    mHooks.mAnswer(aSession, refusal);
+    EndForwardedSession(aSession);
+    return;
+  }
+  if (isFirst) {
+    ReleaseTransaction(aSession, session, aNow);
+    session.mState = TransactionState::Open;
+    session.mTransaction =
+      ClientTransaction{ aStatement.mMayWrite, false, std::nullopt, {} };
+  }
+  if (aStatement.mStatement.mKind == StatementKind::Execute) {
+    session.mPrepared[aStatement.mStatement.mName] = aStatement.mPrepared;
+  }
+  Operation operation;
+  operation.mSession = aSession;
+  operation.mRoute = std::move(aStatement.mRoute);
+  operation.mGroup = operation.mRoute.mGroup;
+  operation.mPurpose = aStatement.mPurpose;
+  operation.mWrites = aStatement.mWrites;
+  operation.mStatement = std::move(aStatement.mStatement);
+  const bool isPrimaryRoute = operation.mRoute.mConsistency == Consistency::Primary;
+  const bool inTransaction = isFirst || isNext;
+  operation.mNeedsPrimary =
+    isPrimaryRoute || (inTransaction ? aStatement.mMayWrite : operation.mWrites);
+  operation.mIsWrapped = !inTransaction && !operation.mWrites && isPrimaryRoute;
+  operation.mArrivedAt = aNow - aStatement.mWaited;
+  operation.mDeadline = operation.mArrivedAt + operation.mRoute.mStatementTimeout;
+  const OperationKey key = mNextOperation++;
+  session.mOperation = key;
+  Submit(key, mOperations.emplace(key, std::move(operation)).first->second, aNow);
+}
+
+void
+ProxyCore::EndForwardedSession(SessionKey aKey)
+{
+  const auto found = mSessions.find(aKey);
+  if (found == mSessions.end() || found->second.mOperation) {
+    return;
+  }
+  const std::optional<ClientTransaction>& transaction = found->second.mTransaction;
+  if (!transaction || !transaction->mConnection) {
+    mSessions.erase(found);
+  }
+}
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -424,6 +424,11 @@
   if (aNow < operation.mDeadline) {
     return;
   }
+  if (operation.mStage == OperationStage::Forwarded) {
+    mHooks.mCancelForward(aKey);
+    OnForwardFailed(aKey, true, aNow);
+    return;
+  }
   const ConnectionKey connection = *operation.mConnection;
   LoseOperation(aKey, "no answer before the timeout", aNow);
   Discard(connection, aNow);
@@ -476,6 +481,7 @@
                   { "session", std::to_string(sessionKey) },
                   { "database", operation.mRoute.mDatabase },
                   { "member", operation.mMember },
+                  { "home", operation.mHome },
                   { "attempts", std::to_string(operation.mAttempts) },
                   { "took_ms", MillisecondText(took) },
                   { "sent_ms_ago", MillisecondText(aNow - operation.mSentAt) },
@@ -489,6 +495,10 @@
     return;
   }
   Answer(sessionKey, found->second, std::move(aAnswer));
+  if (found->second.mIsForwarded) {
+    EndForwardedSession(sessionKey);
+    return;
+  }
   RunBacklog(sessionKey, aNow);
 }
 
--- a/src/libs/proxy/proxycore_sessions.cpp
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -63,20 +63,24 @@
   if (session.mOperation) {
     const OperationKey key = *session.mOperation;
     const Operation& operation = mOperations.at(key);
-    // A statement under way keeps its connection until the answer; nobody waits for it.
-    if (operation.mStage == OperationStage::Waiting || session.mTransaction ||
-        operation.mIsWrapped) {
-      const std::optional<ConnectionKey> connection = operation.mConnection;
+    if (operation.mStage == OperationStage::Forwarded) {
+      mHooks.mCancelForward(key);
       RemoveOperation(key);
-      if (connection) {
-        Discard(*connection, aNow);
-        if (session.mTransaction) {
-          session.mTransaction->mConnection.reset();
+    } else
+      // A statement under way keeps its connection until the answer; nobody waits for it.
+      if (operation.mStage == OperationStage::Waiting || session.mTransaction ||
+          operation.mIsWrapped) {
+        const std::optional<ConnectionKey> connection = operation.mConnection;
+        RemoveOperation(key);
+        if (connection) {
+          Discard(*connection, aNow);
+          if (session.mTransaction) {
+            session.mTransaction->mConnection.reset();
+          }
         }
       }
-    }
   }
-  ReleaseTransaction(session, aNow);
+  ReleaseTransaction(aSession, session, aNow);
   mSessions.erase(found);
 }
 
@@ -102,7 +106,7 @@
       return;
     case StatementKind::Begin:
     case StatementKind::BeginRead:
-      HandleBegin(aKey, aSession, aStatement.mKind == StatementKind::Begin, aNow);
+      HandleBegin(aKey, aSession, aStatement.mKind == StatementKind::Begin);
       return;
     case StatementKind::Rollback:
       HandleRollback(aKey, aSession, aNow);
@@ -143,7 +147,7 @@
 }
 
 void
-ProxyCore::HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite, TimePoint aNow)
+ProxyCore::HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite)
 {
   if (aSession.mState != TransactionState::Idle) {
     AnswerError(aKey, aSession, AnswerCode::BadMessage, "transaction already open");
@@ -151,7 +155,7 @@
   }
   // The member learns of the transaction with its first statement.
   aSession.mState = TransactionState::Open;
-  aSession.mTransaction = ClientTransaction{ aMayWrite, false, std::nullopt, aNow };
+  aSession.mTransaction = ClientTransaction{ aMayWrite, false, std::nullopt, {} };
   AnswerDone(aKey, aSession);
 }
 
@@ -162,7 +166,7 @@
     AnswerError(aKey, aSession, AnswerCode::BadMessage, "no transaction to roll back");
     return;
   }
-  ReleaseTransaction(aSession, aNow);
+  ReleaseTransaction(aKey, aSession, aNow);
   aSession.mState = TransactionState::Idle;
   AnswerDone(aKey, aSession);
 }
@@ -203,7 +207,8 @@
   Operation operation;
   operation.mSession = aKey;
   const auto route = mConfiguration.mRoutes.find(aSession.mDatabase);
-  const bool isPinned = aSession.mTransaction && aSession.mTransaction->mConnection;
+  const bool isPinned = aSession.mTransaction && (aSession.mTransaction->mConnection ||
+                                                  !aSession.mTransaction->mHome.empty());
   if (route != mConfiguration.mRoutes.end()) {
     operation.mRoute = route->second;
   } else if (!isPinned) {
@@ -238,23 +243,35 @@
   operation.mDeadline = aNow + operation.mRoute.mStatementTimeout;
   const OperationKey key = mNextOperation++;
   aSession.mOperation = key;
-  Operation& stored = mOperations.emplace(key, std::move(operation)).first->second;
-  if (isPinned) {
-    stored.mConnection = aSession.mTransaction->mConnection;
-    stored.mMember = mConnections.at(*stored.mConnection).mMember;
-    mConnections.at(*stored.mConnection).mOperation = key;
-    ScheduleOperation(key, stored.mDeadline);
-    SendStatement(stored, std::nullopt, false, aNow);
+  Submit(key, mOperations.emplace(key, std::move(operation)).first->second, aNow);
+}
+
+void
+ProxyCore::Submit(OperationKey aKey, Operation& aOperation, TimePoint aNow)
+{
+  const std::optional<ClientTransaction>& transaction =
+    mSessions.at(aOperation.mSession).mTransaction;
+  if (transaction && transaction->mConnection) {
+    aOperation.mConnection = transaction->mConnection;
+    aOperation.mMember = mConnections.at(*aOperation.mConnection).mMember;
+    mConnections.at(*aOperation.mConnection).mOperation = aKey;
+    ScheduleOperation(aKey, aOperation.mDeadline);
+    SendStatement(aOperation, std::nullopt, false, aNow);
     return;
   }
-  Group& group = mGroups[stored.mGroup];
-  if (stored.mRoute.mConsistency != Consistency::Primary) {
+  const bool isRemote = transaction && !transaction->mHome.empty();
+  if (isRemote || !mHooks.mIsHome(aOperation.mGroup)) {
+    Forward(aKey, aOperation, aNow);
+    return;
+  }
+  Group& group = mGroups[aOperation.mGroup];
+  if (aOperation.mRoute.mConsistency != Consistency::Primary) {
     group.mLastBoundedRead = aNow;
   }
-  group.mWaiting.push_back(key);
-  ScheduleOperation(key, std::min(ObjectiveLimit(stored), WaitLimit(stored)));
+  group.mWaiting.push_back(aKey);
+  ScheduleOperation(aKey, std::min(ObjectiveLimit(aOperation), WaitLimit(aOperation)));
   Dispatch(group, aNow);
-  RefuseHopeless(key, group, aNow);
+  RefuseHopeless(aKey, group, aNow);
 }
 
 void
@@ -272,10 +289,7 @@
 {
   if (aSession.mState == TransactionState::Open) {
     aSession.mState = TransactionState::Failed;
-    if (aSession.mTransaction && aSession.mTransaction->mConnection) {
-      Release(*aSession.mTransaction->mConnection, true, aSession.mLastActivity);
-    }
-    aSession.mTransaction.reset();
+    ReleaseTransaction(aKey, aSession, aSession.mLastActivity);
   }
   ClientAnswer answer;
   answer.mError = aCode;
@@ -327,11 +341,14 @@
 }
 
 void
-ProxyCore::ReleaseTransaction(Session& aSession, TimePoint aNow)
+ProxyCore::ReleaseTransaction(SessionKey aKey, Session& aSession, TimePoint aNow)
 {
   if (aSession.mTransaction && aSession.mTransaction->mConnection) {
     Release(*aSession.mTransaction->mConnection, true, aNow);
   }
+  if (aSession.mTransaction && !aSession.mTransaction->mHome.empty()) {
+    mHooks.mForwardEnd(aSession.mTransaction->mHome, aKey);
+  }
   aSession.mTransaction.reset();
 }
 
@@ -348,6 +365,10 @@
     Release(*aSession.mTransaction->mConnection, true, aNow);
     aSession.mTransaction->mConnection.reset();
   }
+  if (aSession.mTransaction && !aSession.mTransaction->mHome.empty()) {
+    mHooks.mForwardEnd(aSession.mTransaction->mHome, aKey);
+    aSession.mTransaction->mHome.clear();
+  }
   aSession.mState = TransactionState::Failed;
 }
 
--- a/src/libs/proxy/proxyhooks.h
+++ b/src/libs/proxy/proxyhooks.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "observe/log.h"
+#include "proxy/forwardedstatement.h"
 #include "proxy/membercommand.h"
 #include "proxy/memberentry.h"
 #include "proxy/memberreply.h"
@@ -7,11 +9,12 @@
 
 #include <functional>
 #include <initializer_list>
+#include <optional>
+#include <set>
 #include <span>
+#include <string>
 #include <string_view>
 
-#include "observe/log.h"
-
 namespace papayaspindle::proxy {
 
 /** What the data path asks of its surroundings. */
@@ -29,6 +32,23 @@
   std::function<void(ConnectionKey, std::span<const MemberCommand>)> mSend;
   /** Closes a connection; no event of it follows. */
   std::function<void(ConnectionKey)> mCloseConnection;
+  /** @return whether this instance holds connections to the group's members */
+  std::function<bool(std::string_view aGroup)> mIsHome;
+  /** @return instances that hold connections to the group's members */
+  std::function<std::uint32_t(std::string_view aGroup)> mHomeCount;
+  /** @return the home to send a statement to, or nothing */
+  std::function<std::optional<std::string>(std::string_view aGroup,
+                                           const std::set<std::string>& aExcluded,
+                                           TimePoint aNow)>
+    mPickHome;
+  /** Sends a statement to a home; answered by OnForwardAnswer or OnForwardFailed, never
+   * from within the call. */
+  std::function<void(const std::string& aHome, OperationKey, const ForwardedStatement&)>
+    mForward;
+  /** Gives up a statement at a home; no event of it follows. */
+  std::function<void(OperationKey)> mCancelForward;
+  /** Tells a home that a session's transaction is over. */
+  std::function<void(const std::string& aHome, SessionKey)> mForwardEnd;
   /** Records a decision. */
   std::function<void(LogLevel, std::string_view aEvent, std::initializer_list<LogField>)>
     mLog;
--- a/src/libs/proxy/session.h
+++ b/src/libs/proxy/session.h
@@ -36,8 +36,8 @@
   bool mWrote = false;
   /** Connection that runs it; none before its first statement reached a member. */
   std::optional<ConnectionKey> mConnection;
-  /** When the client's BEGIN arrived. */
-  TimePoint mBegunAt;
+  /** Home that runs it; empty when this instance does. */
+  std::string mHome;
 };
 
 /** A client's session. */
@@ -55,6 +55,8 @@
   /** Statements that arrived while another was running. */
   std::deque<Statement> mBacklog;
   TimePoint mLastActivity;
+  /** Belongs to a client of another instance; lives as long as its transaction. */
+  bool mIsForwarded = false;
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/transport/peermessage.cpp
+++ b/src/libs/transport/peermessage.cpp
@@ -1,7 +1,7 @@
 #include "transport/peermessage.h"
 
 #include "common.pb.h"
-#include "convert/convert.h"
+#include "convert/converterror.h"
 
 #include <Poco/Checksum.h>
 #include <fmt/format.h>
