--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -20,8 +20,8 @@
 
 // Few instances can afford to be exact; many beat less often.
 constexpr std::size_t kManyInstances = 12;
-constexpr Duration kSlowBeat = std::chrono::seconds(6);
-constexpr Duration kSlowRowLasts = std::chrono::seconds(20);
+constexpr Duration kSlowBeat = std::chrono::seconds(10);
+constexpr Duration kSlowRowLasts = std::chrono::seconds(32);
 
 std::string
 EncodeInstance(const RegisteredInstance& aInstance, std::uint64_t aBeat)
