--- a/src/libs/eventloop/streamtable.cpp
+++ b/src/libs/eventloop/streamtable.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kReceiveBytes = 16384;
 // A peer that reads nothing must not fill the memory: several of the largest answers.
 constexpr std::size_t kMaxQueuedBytes = 4U << 20U;
+// All peers together; a small part of the smallest machine's memory.
+constexpr std::size_t kMaxQueuedInAll = 48U << 20U;
 constexpr int kBacklog = 512;
 constexpr int kProbesBeforeEnd = 3;
 constexpr int kAcceptsAtOnce = 32;
@@ -62,8 +64,9 @@
   bool mWaitsToSend = false;
 };
 
-StreamTable::StreamTable(EventLoop& aLoop)
+StreamTable::StreamTable(EventLoop& aLoop, std::size_t aLimit)
   : mLoop(aLoop)
+  , mLimit(aLimit)
 {
 }
 
@@ -99,6 +102,10 @@
     }
     // The socket owns its implementation.
     const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(descriptor));
+    if (mStreams.size() >= mLimit) {
+      // The socket closes with its last reference.
+      continue;
+    }
     const StreamKey key = Adopt(socket, listener.mLiveness, listener.mHooks, false);
     listener.mAccepted(key);
   }
@@ -207,11 +214,14 @@
     return;
   }
   Stream& stream = *found->second;
-  if (stream.mOutput.size() + aBytes.size() > kMaxQueuedBytes) {
+  const bool isTooMuch = stream.mOutput.size() + aBytes.size() > kMaxQueuedBytes ||
+                         mQueuedBytes + aBytes.size() > kMaxQueuedInAll;
+  if (isTooMuch) {
     mFailed.push_back(aStream);
     return;
   }
   stream.mOutput += aBytes;
+  mQueuedBytes += aBytes.size();
   if (!stream.mIsDirty) {
     stream.mIsDirty = true;
     mDirty.push_back(aStream);
@@ -258,7 +268,9 @@
     if (count < 0 && errno != EAGAIN && errno != EINTR) {
       return false;
     }
-    aStream.mOutput.erase(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    const auto sent = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+    aStream.mOutput.erase(0, sent);
+    mQueuedBytes -= sent;
   }
   const bool waits = !aStream.mOutput.empty();
   if (waits != aStream.mWaitsToSend) {
@@ -302,6 +314,7 @@
   }
   const std::unique_ptr<Stream> stream = std::move(found->second);
   mStreams.erase(found);
+  mQueuedBytes -= stream->mOutput.size();
   mLoop.Unwatch(stream->mSocket.impl()->sockfd());
   stream->mSocket.close();
   if (stream->mHooks.mEnded && !stream->mIsMuted) {
--- a/src/libs/eventloop/streamtable.h
+++ b/src/libs/eventloop/streamtable.h
@@ -22,7 +22,8 @@
   /** Takes a stream that a client has opened. */
   using AcceptHook = std::function<void(StreamKey)>;
 
-  explicit StreamTable(EventLoop& aLoop);
+  /** @param aLimit open streams; beyond it, accepted ones are closed at once */
+  StreamTable(EventLoop& aLoop, std::size_t aLimit);
   ~StreamTable();
   StreamTable(const StreamTable&) = delete;
   StreamTable& operator=(const StreamTable&) = delete;
@@ -80,6 +81,9 @@
   };
 
   EventLoop& mLoop;
+  std::size_t mLimit;
+  /** Output of all streams that waits to be sent. */
+  std::size_t mQueuedBytes = 0;
   std::vector<Listener> mListeners;
   std::unordered_map<StreamKey, std::unique_ptr<Stream>> mStreams;
   std::vector<StreamKey> mDirty;
--- a/src/libs/proxy/poolconnection.h
+++ b/src/libs/proxy/poolconnection.h
@@ -45,6 +45,8 @@
   /** Session whose transaction the connection runs. */
   std::optional<SessionKey> mTransactionOf;
   std::deque<OutstandingCommand> mOutstanding;
+  /** The member's host has accepted the connection. */
+  bool mIsAccepted = false;
   TimePoint mOpenedAt;
   TimePoint mLastUsed;
 };
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -43,6 +43,8 @@
 
   // Members
 
+  /** The member's host has accepted the connection; its greeting follows. */
+  void OnConnectionAccepted(ConnectionKey aConnection);
   void OnConnectionReady(ConnectionKey aConnection,
                          const std::optional<LogPosition>& aPosition,
                          TimePoint aNow);
@@ -71,6 +73,8 @@
   void OnDirectory(std::span<const MemberEntry> aEntries, TimePoint aNow);
   /** The answers of mIsHome, mHomeCount and mPickHome may have changed. */
   void OnHomesChanged(TimePoint aNow);
+  /** Takes reloaded settings. */
+  void OnSettings(const ProxySettings& aSettings) { mSettings = aSettings; }
   /** Stops in the order that the grace allows. */
   void StartDrain(TimePoint aNow);
   void OnTimer(TimePoint aNow);
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -52,6 +52,15 @@
   mHooks.mOpen(key, aMember.mEntry);
 }
 
+void
+ProxyCore::OnConnectionAccepted(ConnectionKey aConnection)
+{
+  const auto found = mConnections.find(aConnection);
+  if (found != mConnections.end()) {
+    found->second.mIsAccepted = true;
+  }
+}
+
 void
 ProxyCore::OnConnectionReady(ConnectionKey aConnection,
                              const std::optional<LogPosition>& aPosition,
@@ -321,7 +330,8 @@
   for (auto& [key, connection] : mConnections) {
     Member& member = mMembers.find(connection.mMember)->second;
     if (connection.mState == ConnectionState::Opening) {
-      if (aNow - connection.mOpenedAt > kOpenTimeout) {
+      const Duration limit = connection.mIsAccepted ? kOpenTimeout : kConnectTimeout;
+      if (aNow - connection.mOpenedAt > limit) {
         silent.emplace_back(key, "opening timed out");
       }
       continue;
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -24,6 +24,9 @@
 constexpr Duration kOpenBackoffMost = 1s;
 /** Opening that takes longer is given up: several handshakes of the slowest group. */
 constexpr Duration kOpenTimeout = 600ms;
+/** A host that doesn't accept a connection within this time can't be reached: many round
+ * trips within a region. */
+constexpr Duration kConnectTimeout = 250ms;
 
 /** A replica that lacked a position is left out of such reads for this long, doubling. */
 constexpr Duration kLagBackoffFirst = 50ms;
@@ -43,7 +46,7 @@
 constexpr Duration kRetryPause = 15ms;
 /** Answers later than this, with nothing received meanwhile, make a connection suspect.
  */
-constexpr Duration kSilence = 400ms;
+constexpr Duration kSilence = 300ms;
 /** Part of a statement's timeout that it may wait for a connection. */
 constexpr double kWaitShare = 0.9;
 /** Reads are sent to at most this many members. */
