--- /dev/null
+++ b/tests/auto/platform/tst_linecodec.cpp
@@ -0,0 +1,179 @@
+// The line codec on well-formed, malformed and hostile input.
+
+#include "platform/linecodec.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace papayaspindle;
+using namespace papayaspindle::platform;
+using proxy::AnswerCode;
+using proxy::CommandKind;
+using proxy::MemberCommand;
+using proxy::PreparedKind;
+using proxy::Statement;
+using proxy::StatementKind;
+using proxy::TransactionState;
+
+TEST_CASE("statements are parsed by their verb")
+{
+  struct Case
+  {
+    const char* mText;
+    StatementKind mKind;
+    const char* mName;
+    const char* mArguments;
+  };
+  const auto row =
+    GENERATE(Case{ "BEGIN", StatementKind::Begin, "", "" },
+             Case{ "BEGIN READ", StatementKind::BeginRead, "", "" },
+             Case{ "COMMIT", StatementKind::Commit, "", "" },
+             Case{ "ROLLBACK", StatementKind::Rollback, "", "" },
+             Case{ "READ 1a4", StatementKind::Read, "", "1a4" },
+             Case{ "WRITE 1a4 some  data ", StatementKind::Write, "", "1a4 some  data " },
+             Case{ "SET colour dark red", StatementKind::Set, "colour", "dark red" },
+             Case{ "PREPARE s1 WRITE q2c", StatementKind::Prepare, "s1", "q2c" },
+             Case{ "EXECUTE s1 1a4 data", StatementKind::Execute, "s1", "1a4 data" },
+             Case{ "DEALLOC s1", StatementKind::Deallocate, "s1", "" },
+             Case{ "BEGIN WRITE", StatementKind::Malformed, "", "" },
+             Case{ "COMMIT now", StatementKind::Malformed, "", "" },
+             Case{ "READ", StatementKind::Malformed, "", "" },
+             Case{ "READ a b", StatementKind::Malformed, "", "" },
+             Case{ "PREPARE s1 DELETE q", StatementKind::Malformed, "", "" },
+             Case{ "AFTER 1.2 READ a", StatementKind::Malformed, "", "" },
+             Case{ "STATUS", StatementKind::Malformed, "", "" },
+             Case{ "RESET", StatementKind::Malformed, "", "" },
+             Case{ "", StatementKind::Malformed, "", "" });
+  INFO(row.mText);
+  const auto message = ParseClientLine(std::string("QUERY 5c0e ") + row.mText);
+  const auto* statement = std::get_if<Statement>(&message);
+  REQUIRE(statement != nullptr);
+  REQUIRE(statement->mId == "5c0e");
+  REQUIRE(statement->mKind == row.mKind);
+  if (row.mKind != StatementKind::Malformed) {
+    REQUIRE(statement->mName == row.mName);
+    REQUIRE(statement->mArguments == row.mArguments);
+  }
+}
+
+TEST_CASE("other lines of clients")
+{
+  REQUIRE(std::get<StartMessage>(ParseClientLine("START lepu270 u3f1")).mDatabase ==
+          "lepu270");
+  REQUIRE(std::holds_alternative<TerminateMessage>(ParseClientLine("TERMINATE")));
+  for (const char* line : { "", "START", "GET / HTTP/1.1", "query 1 READ a", " QUERY" }) {
+    INFO(line);
+    REQUIRE(std::holds_alternative<MalformedMessage>(ParseClientLine(line)));
+  }
+}
+
+TEST_CASE("commands are formatted with the client's text unchanged")
+{
+  std::string output;
+  MemberCommand read;
+  read.mKind = CommandKind::Read;
+  read.mId = "5c0e";
+  read.mAfter = LogPosition{ 3, 1207 };
+  read.mArguments = "1a4";
+  AppendCommand(output, read);
+  AppendCommand(output,
+                { .mKind = CommandKind::Prepare,
+                  .mName = "q1",
+                  .mArguments = "shape",
+                  .mPreparedKind = PreparedKind::Write });
+  AppendCommand(output, { .mKind = CommandKind::Pause, .mTerm = 4 });
+  AppendCommand(output, { .mKind = CommandKind::Begin });
+  REQUIRE(output == "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n"
+                    "QUERY - PREPARE q1 WRITE shape\r\n"
+                    "QUERY - PAUSE 4\r\n"
+                    "QUERY - BEGIN\r\n");
+}
+
+TEST_CASE("a member's answer is complete with its READY line")
+{
+  MemberReplyReader reader;
+  using Step = MemberReplyReader::Step;
+  REQUIRE(reader.Take("ROW qhzk wmtr") == Step::Continues);
+  REQUIRE(reader.Take("COMPLETE 7.1f3.c") == Step::Continues);
+  REQUIRE(reader.Take("READY T 3.1209") == Step::Complete);
+  const auto reply = reader.TakeReply();
+  REQUIRE(reply.mRows == std::vector<std::string>{ "qhzk wmtr" });
+  REQUIRE(reply.mText == "7.1f3.c");
+  REQUIRE(reply.mState == TransactionState::Open);
+  REQUIRE(reply.mPosition == LogPosition{ 3, 1209 });
+
+  REQUIRE(reader.Take("ERROR READONLY i-7f3a") == Step::Continues);
+  REQUIRE(reader.HasError());
+  REQUIRE(reader.Take("READY E -") == Step::Complete);
+  const auto error = reader.TakeReply();
+  REQUIRE(error.mError == AnswerCode::ReadOnly);
+  REQUIRE_FALSE(error.mPosition);
+  REQUIRE(error.mRows.empty());
+}
+
+TEST_CASE("an unknown code promises nothing, and lines out of order are malformed")
+{
+  MemberReplyReader reader;
+  using Step = MemberReplyReader::Step;
+  REQUIRE(reader.Take("ERROR NEWCODE text") == Step::Continues);
+  REQUIRE(reader.Take("READY I -") == Step::Complete);
+  REQUIRE(reader.TakeReply().mError == AnswerCode::Unknown);
+  REQUIRE(reader.Take("COMPLETE a") == Step::Continues);
+  REQUIRE(reader.Take("COMPLETE b") == Step::Malformed);
+  REQUIRE(MemberReplyReader().Take("READY X -") == Step::Malformed);
+  REQUIRE(MemberReplyReader().Take("HELLO") == Step::Malformed);
+}
+
+TEST_CASE("a status row is decoded")
+{
+  MemberReplyReader reader;
+  reader.Take("ROW replica 3 3.1209 0 12 2 17");
+  reader.Take("COMPLETE -");
+  reader.Take("READY I 3.1204");
+  const auto reply = reader.TakeReply();
+  REQUIRE(reply.mStatus);
+  REQUIRE(reply.mStatus->mRole == proxy::MemberRole::Replica);
+  REQUIRE(reply.mStatus->mReceived == LogPosition{ 3, 1209 });
+}
+
+TEST_CASE("answers to clients")
+{
+  std::string output;
+  proxy::ClientAnswer answer;
+  answer.mRows = { "row" };
+  answer.mText = "sig";
+  answer.mPosition = LogPosition{ 3, 7 };
+  AppendAnswer(output, answer);
+  answer = {};
+  answer.mError = AnswerCode::Unknown;
+  answer.mState = TransactionState::Failed;
+  AppendAnswer(output, answer);
+  REQUIRE(output == "ROW row\r\nCOMPLETE sig\r\nREADY I 3.7\r\n"
+                    "ERROR UNKNOWN -\r\nREADY E -\r\n");
+}
+
+TEST_CASE("positions")
+{
+  REQUIRE(ParsePosition("3.1207") == LogPosition{ 3, 1207 });
+  for (const char* text : { "", "-", "3", "3.", ".3", "3.x", "x.3", "3.4.5", "-1.2" }) {
+    INFO(text);
+    REQUIRE_FALSE(ParsePosition(text));
+  }
+}
+
+// Bytes of any kind must neither crash the reader nor be taken for an answer.
+TEST_CASE("random lines are never taken for a complete answer with a signature")
+{
+  std::mt19937 random(7);
+  for (int run = 0; run < 20000; run++) {
+    std::string line;
+    const std::size_t length = random() % 40;
+    for (std::size_t index = 0; index < length; index++) {
+      line += static_cast<char>(random() % 256);
+    }
+    (void)ParseClientLine(line);
+    MemberReplyReader reader;
+    REQUIRE(reader.Take(line) != MemberReplyReader::Step::Complete);
+  }
+}
--- /dev/null
+++ b/tests/auto/platform/tst_platformdecoding.cpp
@@ -0,0 +1,107 @@
+// Settings, configuration and member entries, also from other writers.
+
+#include "platform/entrydecoder.h"
+#include "platform/settingsfile.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace papayaspindle::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kSettings = R"({
+  "node": "n1", "zone": "z1", "ip": "10.1.0.8", "something": {"new": 1},
+  "listen": {"frontend": "10.1.0.8:1", "readiness": "10.1.0.8:2"},
+  "internalPorts": [7440, 7455], "heartbeatMs": 1200,
+  "limits": {"cpuShare": 0.25, "memoryMb": 260, "maxFds": 4300},
+  "bounds": {"graceS": 6, "stabilityWindowMs": 5000},
+  "platform": {"address": "10.200.1.7:8783"},
+  "cloudApi": {"address": "10.200.0.160:8783"}
+})";
+
+const std::string kMember = R"({"backend":"g","address":"10.128.0.9:8080","zone":"z",
+  "version":"v1","capacity":2,"state":"ready","warmupLeftMs":0,"dbRole":"primary",
+  "seq":4,"born":1700000000000})";
+
+std::string
+Replaced(const std::string& aText, const std::string& aFrom, const std::string& aTo)
+{
+  std::string text = aText;
+  text.replace(text.find(aFrom), aFrom.size(), aTo);
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("settings are read, and fields that aren't known are ignored")
+{
+  const auto settings = ParseSettings(kSettings);
+  REQUIRE(IsOk(settings));
+  REQUIRE(ValueOf(settings).mInstance == "n1");
+  REQUIRE(ValueOf(settings).mMetricsAddress == "10.1.0.8:7440");
+  REQUIRE(ValueOf(settings).mPeerAddress == "10.1.0.8:7441");
+  REQUIRE(ValueOf(settings).mGrace == 6s);
+  REQUIRE(ValueOf(settings).mStabilityWindow == 5s);
+}
+
+TEST_CASE("wrong settings say what is missing")
+{
+  REQUIRE_FALSE(IsOk(ParseSettings("not json")));
+  const auto noZone = ParseSettings(Replaced(kSettings, "\"zone\"", "\"zome\""));
+  REQUIRE_FALSE(IsOk(noZone));
+  REQUIRE(ErrorOf(noZone).mMessage.find("zone") != std::string::npos);
+  REQUIRE_FALSE(
+    IsOk(ParseSettings(Replaced(kSettings, "\"graceS\": 6", "\"graceS\": -6"))));
+  REQUIRE_FALSE(IsOk(ParseSettings(Replaced(kSettings, "\"n1\"", "17"))));
+  const auto noFile = ReadSettings("/nonexistent/settings.json");
+  REQUIRE_FALSE(IsOk(noFile));
+  REQUIRE(ErrorOf(noFile).mMessage.find("/nonexistent/settings.json") !=
+          std::string::npos);
+}
+
+TEST_CASE("a configuration is decoded into routes and groups")
+{
+  const auto configuration = DecodeConfiguration(R"({"version":7,"routes":[
+    {"name":"r","host":"db","prefix":"/","routeType":"read_your_writes","timeoutMs":800,
+     "targetLatencyMs":200,"priority":2,"backend":"g","attempts":2,"maxStalenessMs":2500}],
+    "backends":[{"name":"g","maxConns":16,"syncReplicas":1}],"limits":{"txIdleMs":3500}})");
+  REQUIRE(configuration);
+  REQUIRE(configuration->mVersion == 7);
+  const proxy::Route& route = configuration->mRoutes.at("db");
+  REQUIRE(route.mConsistency == proxy::Consistency::ReadYourWrites);
+  REQUIRE(route.mMaxStaleness == 2500ms);
+  REQUIRE(route.mStatementTimeout == 800ms);
+  REQUIRE(configuration->mGroups.at("g").mSynchronousReplicas == 1);
+  REQUIRE(configuration->mTransactionIdle == 3500ms);
+  REQUIRE_FALSE(DecodeConfiguration("[]"));
+  REQUIRE_FALSE(DecodeConfiguration(R"({"routes":[]})"));
+}
+
+TEST_CASE("a member entry is decoded")
+{
+  const auto member = DecodeMember("i-1", kMember, 42);
+  REQUIRE(member);
+  REQUIRE(member->mRole == proxy::MemberRole::Primary);
+  REQUIRE(member->mSlots == 2);
+  REQUIRE(member->mStartedAtMs == 1700000000000U);
+  REQUIRE(member->mRevision == 42);
+  REQUIRE_FALSE(member->mDraining);
+}
+
+// Rows of other writers must not name a member to use.
+TEST_CASE("entries with missing, foreign or unknown fields name no member")
+{
+  const auto [from, to] = GENERATE(
+    std::pair<const char*, const char*>{ "\"backend\":\"g\",", "" },
+    std::pair<const char*, const char*>{ "\"capacity\":2", "\"capacity\":\"2\"" },
+    std::pair<const char*, const char*>{ "\"capacity\":2", "\"capacity\":0" },
+    std::pair<const char*, const char*>{ "\"state\":\"ready\"", "\"state\":\"resting\"" },
+    std::pair<const char*, const char*>{ "\"dbRole\":\"primary\"",
+                                         "\"dbRole\":\"king\"" },
+    std::pair<const char*, const char*>{ "10.128.0.9:8080", "somewhere" },
+    std::pair<const char*, const char*>{ "{", "\xff\xfe" });
+  INFO(from << " -> " << to);
+  REQUIRE_FALSE(DecodeMember("i-1", Replaced(kMember, from, to), 1));
+}
--- /dev/null
+++ b/tests/auto/proxy/corefixture.h
@@ -0,0 +1,275 @@
+#pragma once
+
+#include "proxy/proxycore.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace papayaspindle::proxy {
+
+using namespace std::chrono_literals;
+
+/** The data path with recorded hooks, a manual clock and members that a test answers for.
+ */
+class CoreFixture
+{
+public:
+  struct Sent
+  {
+    ConnectionKey mConnection = 0;
+    MemberCommand mCommand;
+  };
+
+  CoreFixture()
+    : mCore(Settings(), Hooks())
+  {
+    mCore.OnConfiguration(Configuration(1), mNow);
+    ListMembers();
+    OpenAll();
+    mSent.clear();
+  }
+
+  static ProxySettings Settings()
+  {
+    ProxySettings settings;
+    settings.mInstance = "instance-1";
+    settings.mZone = "zone-a";
+    return settings;
+  }
+
+  static Route MakeRoute(const std::string& aDatabase, Consistency aConsistency)
+  {
+    Route route;
+    route.mDatabase = aDatabase;
+    route.mGroup = "group";
+    route.mConsistency = aConsistency;
+    route.mStatementTimeout = 800ms;
+    route.mLatencyObjective = 200ms;
+    route.mMaxStaleness = aConsistency == Consistency::Primary ? 0ms : 1500ms;
+    route.mPriority = aConsistency == Consistency::Primary ? 1 : 2;
+    return route;
+  }
+
+  static ProxyConfiguration Configuration(std::uint64_t aVersion)
+  {
+    ProxyConfiguration configuration;
+    configuration.mVersion = aVersion;
+    for (const auto& [name, consistency] :
+         { std::pair{ "main", Consistency::Primary },
+           std::pair{ "views", Consistency::Bounded },
+           std::pair{ "ledger", Consistency::ReadYourWrites } }) {
+      configuration.mRoutes[name] = MakeRoute(name, consistency);
+    }
+    configuration.mGroups["group"] = { "group", 16, 0 };
+    return configuration;
+  }
+
+  static MemberEntry Entry(const std::string& aId, MemberRole aRole)
+  {
+    MemberEntry entry;
+    entry.mId = aId;
+    entry.mGroup = "group";
+    entry.mAddress = "127.0.0.1:1";
+    entry.mZone = "zone-a";
+    entry.mSlots = 2;
+    entry.mRole = aRole;
+    entry.mRevision = 10;
+    return entry;
+  }
+
+  void ListMembers()
+  {
+    mEntries = { Entry("p", MemberRole::Primary),
+                 Entry("r1", MemberRole::Replica),
+                 Entry("r2", MemberRole::Replica) };
+    mCore.OnDirectory(mEntries, mNow);
+  }
+
+  /** Lets a tick pass, and opens what the core asks for. */
+  void OpenAll()
+  {
+    Advance(100ms);
+    for (const auto& [key, member] : std::exchange(mOpening, {})) {
+      mMemberOf[key] = member;
+      mCore.OnConnectionReady(key, LogPosition{ 1, 1 }, mNow);
+    }
+  }
+
+  void Advance(Duration aTime)
+  {
+    mNow += aTime;
+    mCore.OnTimer(mNow);
+  }
+
+  void Start(SessionKey aSession, const std::string& aDatabase)
+  {
+    mCore.OnSessionOpened(aSession, aDatabase, mNow);
+  }
+
+  void Say(SessionKey aSession,
+           StatementKind aKind,
+           const std::string& aArguments = "",
+           const std::string& aName = "")
+  {
+    Statement statement;
+    statement.mId = "id" + std::to_string(++mNextId);
+    statement.mKind = aKind;
+    statement.mArguments = aArguments;
+    statement.mName = aName;
+    mCore.OnStatement(aSession, statement, mNow);
+  }
+
+  /** @return the last command of that kind that was sent; fails the test by throwing when
+   * there was none */
+  const Sent& Last(CommandKind aKind) const
+  {
+    const auto found = std::find_if(mSent.rbegin(), mSent.rend(), [&](const Sent& aSent) {
+      return aSent.mCommand.mKind == aKind;
+    });
+    if (found == mSent.rend()) {
+      throw std::runtime_error("no such command was sent");
+    }
+    return *found;
+  }
+
+  std::size_t CountOf(CommandKind aKind) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mSent.begin(), mSent.end(), [&](const Sent& aSent) {
+        return aSent.mCommand.mKind == aKind;
+      }));
+  }
+
+  std::string MemberOf(const Sent& aSent) const
+  {
+    return mMemberOf.at(aSent.mConnection);
+  }
+
+  void Succeed(ConnectionKey aConnection,
+               const std::string& aSignature,
+               TransactionState aState = TransactionState::Idle,
+               LogPosition aPosition = { 1, 5 })
+  {
+    MemberReply reply;
+    reply.mText = aSignature;
+    reply.mState = aState;
+    reply.mPosition = aPosition;
+    if (aSignature != kUnsigned) {
+      reply.mRows = { "row" };
+    }
+    mCore.OnReply(aConnection, reply, mNow);
+  }
+
+  void Refuse(ConnectionKey aConnection,
+              AnswerCode aCode,
+              TransactionState aState = TransactionState::Idle)
+  {
+    MemberReply reply;
+    reply.mError = aCode;
+    reply.mText = "refused";
+    reply.mState = aState;
+    reply.mPosition = LogPosition{ 1, 5 };
+    mCore.OnReply(aConnection, reply, mNow);
+  }
+
+  const ClientAnswer& LastAnswer(SessionKey aSession) const
+  {
+    return mAnswers.at(aSession).back();
+  }
+
+  std::size_t AnswerCount(SessionKey aSession) const
+  {
+    const auto found = mAnswers.find(aSession);
+    return found == mAnswers.end() ? 0 : found->second.size();
+  }
+
+  /** Answers samples of the primary's position that the core has asked for. */
+  void AnswerSamples(LogPosition aPosition)
+  {
+    for (const Sent& sent : std::exchange(mSent, {})) {
+      if (sent.mCommand.mKind == CommandKind::Begin) {
+        Succeed(sent.mConnection, kUnsigned, TransactionState::Open, aPosition);
+      } else if (sent.mCommand.mKind == CommandKind::Rollback) {
+        Succeed(sent.mConnection, kUnsigned, TransactionState::Idle, aPosition);
+      }
+    }
+  }
+
+  /** Gives the group a sample of the primary's position by a write. */
+  void SampleByWrite(LogPosition aPosition)
+  {
+    constexpr SessionKey kWriter = 9000;
+    Start(kWriter, "main");
+    Say(kWriter, StatementKind::Write, "item data");
+    Succeed(
+      Last(CommandKind::Write).mConnection, "sig", TransactionState::Idle, aPosition);
+    mCore.OnSessionClosed(kWriter, mNow);
+    mSent.clear();
+  }
+
+  TimePoint mNow{ std::chrono::hours(1) };
+  std::vector<MemberEntry> mEntries;
+  std::vector<Sent> mSent;
+  std::map<SessionKey, std::vector<ClientAnswer>> mAnswers;
+  std::vector<std::pair<ConnectionKey, std::string>> mOpening;
+  std::map<ConnectionKey, std::string> mMemberOf;
+  std::vector<ConnectionKey> mClosedConnections;
+  std::vector<SessionKey> mClosedSessions;
+  std::vector<std::pair<OperationKey, ForwardedStatement>> mForwarded;
+  bool mIsHome = true;
+
+private:
+  ProxyHooks Hooks()
+  {
+    ProxyHooks hooks;
+    hooks.mAnswer = [this](SessionKey aKey, const ClientAnswer& aAnswer) {
+      mAnswers[aKey].push_back(aAnswer);
+    };
+    hooks.mWelcome = [](SessionKey) {};
+    hooks.mCloseSession = [this](SessionKey aKey) { mClosedSessions.push_back(aKey); };
+    hooks.mOpen = [this](ConnectionKey aKey, const MemberEntry& aMember) {
+      mOpening.emplace_back(aKey, aMember.mId);
+    };
+    hooks.mSend = [this](ConnectionKey aKey, std::span<const MemberCommand> aCommands) {
+      for (const MemberCommand& command : aCommands) {
+        mSent.push_back({ aKey, command });
+      }
+    };
+    hooks.mCloseConnection = [this](ConnectionKey aKey) {
+      mClosedConnections.push_back(aKey);
+    };
+    hooks.mIsHome = [this](std::string_view) { return mIsHome; };
+    hooks.mHomeCount = [](std::string_view) { return 4U; };
+    hooks.mPickHome = [](std::string_view,
+                         const std::set<std::string>& aExcluded,
+                         TimePoint) -> std::optional<std::string> {
+      for (const char* home : { "home-1", "home-2" }) {
+        if (!aExcluded.contains(home)) {
+          return home;
+        }
+      }
+      return std::nullopt;
+    };
+    hooks.mForward = [this](const std::string&,
+                            OperationKey aOperation,
+                            const ForwardedStatement& aStatement) {
+      mForwarded.emplace_back(aOperation, aStatement);
+    };
+    hooks.mCancelForward = [](OperationKey) {};
+    hooks.mForwardEnd = [](const std::string&, SessionKey) {};
+    hooks.mLog = [](LogLevel, std::string_view, std::initializer_list<LogField>) {};
+    hooks.mCount = [](std::string_view) {};
+    hooks.mObserve = [](std::string_view, Duration) {};
+    return hooks;
+  }
+
+  std::uint64_t mNextId = 0;
+
+public:
+  ProxyCore mCore;
+};
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -0,0 +1,128 @@
+// Promotion under lost calls, cuts and freezes.
+
+#include "storeworld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace papayaspindle::proxy;
+
+TEST_CASE("a primary that every instance has lost is replaced by the longest log in 2 s")
+{
+  StoreWorld world(6);
+  world.mPrimaryLives = false;
+  world.Run(2s);
+  REQUIRE(world.Promoted() == std::vector<std::string>{ "r1" });
+  REQUIRE(world.mPrimary == "r1");
+}
+
+TEST_CASE("a primary that most instances reach stays")
+{
+  StoreWorld world(6);
+  world.mInstances["instance-0"].mReachesPrimary = false;
+  world.mInstances["instance-1"].mReachesPrimary = false;
+  world.Run(6s);
+  REQUIRE(world.Promoted().empty());
+}
+
+TEST_CASE("a primary that most instances have lost is replaced although others reach it")
+{
+  StoreWorld world(6);
+  for (const char* name : { "instance-0", "instance-1", "instance-2", "instance-3" }) {
+    world.mInstances[name].mReachesPrimary = false;
+  }
+  world.Run(4s);
+  REQUIRE(world.Promoted() == std::vector<std::string>{ "r1" });
+}
+
+// A cut instance finds every member down; after the cut its old reasons must not count.
+TEST_CASE("an instance that was cut off promotes nobody when it is back")
+{
+  StoreWorld world(6);
+  auto& cut = world.mInstances["instance-2"];
+  cut.mHasStore = false;
+  cut.mReachesPrimary = false;
+  world.Run(6s);
+  cut.mHasStore = true;
+  world.Run(150ms);
+  cut.mReachesPrimary = true;
+  world.Run(4s);
+  REQUIRE(world.Promoted().empty());
+}
+
+TEST_CASE("a lonely instance replaces its primary after the time for objections")
+{
+  StoreWorld world(1);
+  world.mPrimaryLives = false;
+  world.Run(800ms);
+  REQUIRE(world.Promoted().empty());
+  world.Run(2s);
+  REQUIRE(world.Promoted() == std::vector<std::string>{ "r1" });
+}
+
+TEST_CASE("a leaving primary is replaced without doubts")
+{
+  StoreWorld world(6);
+  world.mPrimaryDrains = true;
+  world.Run(500ms);
+  REQUIRE(world.mAccepted.size() == 1);
+}
+
+TEST_CASE("without the store nobody promotes")
+{
+  StoreWorld world(3);
+  world.mPrimaryLives = false;
+  for (auto& [name, instance] : world.mInstances) {
+    instance.mHasStore = false;
+  }
+  world.Run(10s);
+  REQUIRE(world.mAccepted.empty());
+}
+
+TEST_CASE("with synchronous replicas all of them are paused before one is chosen")
+{
+  StoreWorld world(3);
+  world.mSynchronous = 1;
+  world.mSilentReplicas = { "r1" };
+  world.mPrimaryLives = false;
+  world.Run(6s);
+  // The silent one may hold the only copy of an acknowledged commit.
+  REQUIRE(world.mAccepted.empty());
+  REQUIRE(world.mLastQuery == CommandKind::Pause);
+  world.mSilentReplicas.clear();
+  world.Run(6s);
+  REQUIRE(world.Promoted() == std::vector<std::string>{ "r1" });
+}
+
+TEST_CASE("a frozen holder that wakes gives way to the newer token")
+{
+  StoreWorld world(3);
+  world.mPrimaryLives = false;
+  while (world.mRows.count("leadership/group") == 0) {
+    world.Run(10ms);
+  }
+  const auto first = DecodeLeadership(world.mRows["leadership/group"].mValue);
+  REQUIRE(first);
+  world.mInstances[first->mHolder].mIsFrozen = true;
+  world.Run(6s);
+  world.mInstances[first->mHolder].mIsFrozen = false;
+  world.Run(3s);
+  REQUIRE(world.mViolations.empty());
+  REQUIRE_FALSE(world.mAccepted.empty());
+}
+
+TEST_CASE("coordination rows survive their encoding, and other text is refused")
+{
+  const auto row = DecodeLeadership(Encode(LeadershipRow{ 7, "holder", "member" }));
+  REQUIRE(row);
+  REQUIRE(row->mToken == 7);
+  REQUIRE(row->mMember == "member");
+  const auto opinion = DecodeOpinion(Encode(PrimaryOpinion{ "member", true }));
+  REQUIRE(opinion);
+  REQUIRE(opinion->mIsAlive);
+  for (const char* text : { "", "x", "7", "7 a", "x a b", "7 a b c", "up member" }) {
+    INFO(text);
+    REQUIRE_FALSE(DecodeLeadership(text));
+    REQUIRE_FALSE(DecodeOpinion(text));
+  }
+}
--- /dev/null
+++ b/tests/auto/proxy/tst_proxyoverload.cpp
@@ -0,0 +1,117 @@
+// Load patterns: who waits, who is refused, and what a member is given.
+
+#include "corefixture.h"
+#include "proxy/concurrencywindow.h"
+#include "proxy/workestimate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace papayaspindle::proxy;
+
+// Pattern: the replicas of a group lag, and all its reads go to the primary. First-come
+// order answered nearly every statement after its objective.
+TEST_CASE("a statement that can't be answered in time is refused at once")
+{
+  CoreFixture fixture;
+  constexpr SessionKey kClients = 60;
+  for (SessionKey session = 1; session <= kClients; session++) {
+    fixture.Start(session, "main");
+    fixture.Say(session, StatementKind::Write, "item data");
+  }
+  std::size_t refused = 0;
+  for (SessionKey session = 1; session <= kClients; session++) {
+    if (fixture.AnswerCount(session) > 0) {
+      REQUIRE(fixture.LastAnswer(session).mError == AnswerCode::Busy);
+      refused++;
+    }
+  }
+  REQUIRE(refused > 0);
+  REQUIRE(refused < kClients - 2);
+  // Nothing that was refused reaches a member.
+  REQUIRE(fixture.CountOf(CommandKind::Write) + refused <= kClients);
+}
+
+TEST_CASE("a member gets no more statements at once than its window")
+{
+  CoreFixture fixture;
+  // Short enough that no statement runs out of time and is followed by another.
+  for (SessionKey session = 1; session <= 5; session++) {
+    fixture.Start(session, "main");
+    fixture.Say(session, StatementKind::Write, "item data");
+    fixture.OpenAll();
+  }
+  REQUIRE(fixture.CountOf(CommandKind::Write) <= 3);
+}
+
+TEST_CASE("the more urgent statement of two that wait is sent first")
+{
+  CoreFixture fixture;
+  std::vector<ConnectionKey> busy;
+  for (SessionKey session = 1; session <= 2; session++) {
+    fixture.Start(session, "ledger");
+    fixture.Say(session, StatementKind::Write, "item data");
+    fixture.OpenAll();
+  }
+  fixture.Start(3, "ledger");
+  fixture.Start(4, "main");
+  fixture.Say(3, StatementKind::Write, "less-urgent data");
+  fixture.Say(4, StatementKind::Write, "more-urgent data");
+  fixture.Succeed(fixture.mSent.at(0).mConnection, "sig");
+  REQUIRE(fixture.Last(CommandKind::Write).mCommand.mArguments == "more-urgent data");
+}
+
+TEST_CASE("a window is cut while answers wait at the member, and raised after")
+{
+  ConcurrencyWindow window;
+  TimePoint now{ 1s };
+  for (int answer = 0; answer < 100; answer++) {
+    now += 20ms;
+    window.OnAnswer(150ms, 200ms, 3, now);
+  }
+  REQUIRE(window.Limit() == 1);
+  for (int answer = 0; answer < 100; answer++) {
+    now += 20ms;
+    window.OnAnswer(1ms, 200ms, 3, now);
+  }
+  REQUIRE(window.Limit() >= 3);
+  REQUIRE(window.Limit() <= 4);
+}
+
+TEST_CASE("the estimate of work follows the lower quartile, not the queue")
+{
+  WorkEstimate work;
+  for (int sample = 0; sample < 1000; sample++) {
+    // A quarter at 5 ms, the rest queued.
+    work.Add(sample % 4 == 0 ? 5ms : 80ms);
+  }
+  REQUIRE(work.Base() < 40ms);
+  REQUIRE(work.QueuedOf(5ms) <= 0ms);
+}
+
+// Pattern: more callers than connections; a refusal beyond the own share must not stop
+// the instance from opening within it.
+TEST_CASE("a refused borrowed connection leaves the own share alone")
+{
+  CoreFixture fixture;
+  for (SessionKey session = 1; session <= 12; session++) {
+    fixture.Start(session, "main");
+    fixture.Say(session, StatementKind::Begin);
+    fixture.Say(session, StatementKind::Write, "item data");
+    fixture.OpenAll();
+    for (const auto& sent : std::vector(fixture.mSent)) {
+      if (sent.mCommand.mKind == CommandKind::Begin) {
+        fixture.Succeed(sent.mConnection, kUnsigned, TransactionState::Open);
+        fixture.Succeed(sent.mConnection, "sig", TransactionState::Open);
+      }
+    }
+    fixture.mSent.clear();
+  }
+  std::size_t toPrimary = 0;
+  for (const auto& [key, member] : fixture.mMemberOf) {
+    toPrimary += member == "p" ? 1 : 0;
+  }
+  // A share of 16 / 4 instances, borrowed up to twice and one.
+  REQUIRE(toPrimary >= 4);
+  REQUIRE(toPrimary <= 9);
+}
--- /dev/null
+++ b/tests/auto/proxy/tst_proxysessions.cpp
@@ -0,0 +1,199 @@
+// Sessions: values and prepared names on shared connections, transactions, idle limits.
+
+#include "corefixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace papayaspindle::proxy;
+
+TEST_CASE("a session of an unknown database is refused")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "nobody");
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::UnknownDatabase);
+  REQUIRE(fixture.mClosedSessions.size() == 1);
+}
+
+TEST_CASE("an older configuration never replaces a newer one")
+{
+  CoreFixture fixture;
+  ProxyConfiguration newer = CoreFixture::Configuration(5);
+  newer.mRoutes.erase("views");
+  fixture.mCore.OnConfiguration(newer, fixture.mNow);
+  fixture.mCore.OnConfiguration(CoreFixture::Configuration(4), fixture.mNow);
+  REQUIRE(fixture.mCore.Configuration().mVersion == 5);
+  fixture.Start(1, "views");
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::UnknownDatabase);
+}
+
+TEST_CASE("a route that is removed is refused from the next transaction on")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  ProxyConfiguration next = CoreFixture::Configuration(2);
+  next.mRoutes.erase("main");
+  fixture.mCore.OnConfiguration(next, fixture.mNow);
+  fixture.Say(1, StatementKind::Write, "item data");
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::UnknownDatabase);
+  REQUIRE(fixture.CountOf(CommandKind::Write) == 0);
+}
+
+// A connection that another session has used must not run a statement with its values.
+TEST_CASE("session values are set, and foreign ones cleared, before a statement")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Set, "red", "colour");
+  REQUIRE(fixture.LastAnswer(1).mText == kUnsigned);
+  fixture.Say(1, StatementKind::Write, "item data");
+  REQUIRE(fixture.CountOf(CommandKind::Reset) == 0);
+  const auto set = fixture.Last(CommandKind::Set);
+  REQUIRE(set.mCommand.mName == "colour");
+  REQUIRE(set.mCommand.mArguments == "red");
+  fixture.Succeed(set.mConnection, kUnsigned);
+  fixture.Succeed(set.mConnection, "sig");
+
+  fixture.Start(2, "main");
+  fixture.mSent.clear();
+  fixture.Say(2, StatementKind::Write, "item data");
+  REQUIRE(fixture.mSent.at(0).mCommand.mKind == CommandKind::Reset);
+  REQUIRE(fixture.mSent.at(1).mCommand.mKind == CommandKind::Write);
+}
+
+TEST_CASE("a value that can't be set ends the attempt and the connection")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Set, "red", "colour");
+  fixture.Say(1, StatementKind::Write, "item data");
+  const ConnectionKey connection = fixture.Last(CommandKind::Set).mConnection;
+  fixture.Refuse(connection, AnswerCode::Busy);
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::Unknown);
+  REQUIRE(std::count(fixture.mClosedConnections.begin(),
+                     fixture.mClosedConnections.end(),
+                     connection) == 1);
+}
+
+// Two clients use one name for different shapes.
+TEST_CASE("prepared names of different clients don't collide")
+{
+  CoreFixture fixture;
+  std::vector<std::string> names;
+  for (const SessionKey session : { 1, 2 }) {
+    fixture.Start(session, "main");
+    Statement prepare;
+    prepare.mId = "p" + std::to_string(session);
+    prepare.mKind = StatementKind::Prepare;
+    prepare.mName = "s1";
+    prepare.mPreparedKind = PreparedKind::Write;
+    prepare.mArguments = "shape" + std::to_string(session);
+    fixture.mCore.OnStatement(session, prepare, fixture.mNow);
+    fixture.Say(session, StatementKind::Execute, "item data", "s1");
+    const auto prepared = fixture.Last(CommandKind::Prepare);
+    REQUIRE(prepared.mCommand.mArguments == prepare.mArguments);
+    const auto executed = fixture.Last(CommandKind::Execute);
+    REQUIRE(executed.mCommand.mName == prepared.mCommand.mName);
+    names.push_back(executed.mCommand.mName);
+    fixture.Succeed(executed.mConnection, kUnsigned);
+    fixture.Succeed(executed.mConnection, "sig");
+  }
+  REQUIRE(names[0] != names[1]);
+}
+
+TEST_CASE("a prepared statement that the session doesn't have is refused")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Execute, "item", "missing");
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::UnknownPrepared);
+  REQUIRE(fixture.mSent.empty());
+}
+
+TEST_CASE("a transaction stays on one connection and ends with its commit")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Begin);
+  REQUIRE(fixture.LastAnswer(1).mState == TransactionState::Open);
+  REQUIRE(fixture.mSent.empty());
+  fixture.Say(1, StatementKind::Write, "item data");
+  const auto begin = fixture.Last(CommandKind::Begin);
+  REQUIRE(fixture.MemberOf(begin) == "p");
+  // The statement waits for the answer to BEGIN: outside a transaction it must not run.
+  REQUIRE(fixture.CountOf(CommandKind::Write) == 0);
+  fixture.Succeed(begin.mConnection, kUnsigned, TransactionState::Open);
+  REQUIRE(fixture.Last(CommandKind::Write).mConnection == begin.mConnection);
+  fixture.Succeed(begin.mConnection, "sig", TransactionState::Open);
+  fixture.Say(1, StatementKind::Read, "item");
+  REQUIRE(fixture.Last(CommandKind::Read).mConnection == begin.mConnection);
+  fixture.Succeed(begin.mConnection, "sig", TransactionState::Open);
+  fixture.Say(1, StatementKind::Commit);
+  fixture.Succeed(begin.mConnection, "sig");
+  REQUIRE_FALSE(fixture.LastAnswer(1).mError);
+  REQUIRE(fixture.LastAnswer(1).mState == TransactionState::Idle);
+}
+
+TEST_CASE("a client that leaves in a transaction has it rolled back")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Begin);
+  fixture.Say(1, StatementKind::Write, "item data");
+  const ConnectionKey connection = fixture.Last(CommandKind::Begin).mConnection;
+  fixture.Succeed(connection, kUnsigned, TransactionState::Open);
+  fixture.Succeed(connection, "sig", TransactionState::Open);
+  fixture.mCore.OnSessionClosed(1, fixture.mNow);
+  REQUIRE(fixture.Last(CommandKind::Rollback).mConnection == connection);
+}
+
+TEST_CASE("a transaction that rests too long is rolled back and its client told")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Begin);
+  fixture.Say(1, StatementKind::Write, "item data");
+  const ConnectionKey connection = fixture.Last(CommandKind::Begin).mConnection;
+  fixture.Succeed(connection, kUnsigned, TransactionState::Open);
+  fixture.Succeed(connection, "sig", TransactionState::Open);
+  fixture.Advance(3200ms);
+  REQUIRE(fixture.Last(CommandKind::Rollback).mConnection == connection);
+  fixture.Say(1, StatementKind::Read, "item");
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::Aborted);
+  fixture.Say(1, StatementKind::Rollback);
+  REQUIRE_FALSE(fixture.LastAnswer(1).mError);
+  REQUIRE(fixture.LastAnswer(1).mState == TransactionState::Idle);
+}
+
+TEST_CASE("in a failed transaction only its end is accepted")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Begin);
+  fixture.Say(1, StatementKind::Begin);
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::BadMessage);
+  REQUIRE(fixture.LastAnswer(1).mState == TransactionState::Failed);
+  fixture.Say(1, StatementKind::Read, "item");
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::BadMessage);
+  fixture.Say(1, StatementKind::Commit);
+  REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::Aborted);
+  REQUIRE(fixture.LastAnswer(1).mState == TransactionState::Idle);
+}
+
+TEST_CASE(
+  "a stop closes resting sessions after the notice, transactions by half the grace")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Start(2, "main");
+  fixture.Say(2, StatementKind::Begin);
+  fixture.mCore.StartDrain(fixture.mNow);
+  fixture.Advance(1s);
+  REQUIRE(fixture.mClosedSessions.empty());
+  fixture.Advance(1300ms);
+  REQUIRE(fixture.mClosedSessions == std::vector<SessionKey>{ 1 });
+  REQUIRE_FALSE(fixture.mCore.IsDrained());
+  fixture.Advance(800ms);
+  REQUIRE(fixture.mClosedSessions == std::vector<SessionKey>{ 1, 2 });
+  REQUIRE(fixture.mCore.IsDrained());
+}
