--- a/src/libs/eventloop/streamtable.cpp
+++ b/src/libs/eventloop/streamtable.cpp
@@ -79,7 +79,8 @@
                     AcceptHook aAccepted)
 {
   Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(aAddress), true);
+  // Never SO_REUSEPORT: a second process at the address must fail, not share its clients.
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
   socket.listen(kBacklog);
   socket.setBlocking(false);
   const std::size_t index = mListeners.size();
--- /dev/null
+++ b/tests/e2e/harness.py
@@ -0,0 +1,239 @@
+"""Starts entry instances against the stand-ins, and clients that check what they see."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import tempfile
+import time
+
+from standin import HOST, FaultProxy, Group, Store
+
+# Promises that nothing of an attempt is kept.
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
+
+
+next_port = 20000 + os.getpid() * 100 % 10000
+
+
+def free_ports(count):
+    """A run of free ports that this process has not given out before."""
+    global next_port
+    while next_port + count < 32000:
+        base, next_port = next_port, next_port + count
+        sockets = []
+        try:
+            for port in range(base, base + count):
+                sockets.append(socket.create_server((HOST, port)))
+            return base
+        except OSError:
+            continue
+        finally:
+            for opened in sockets:
+                opened.close()
+    raise RuntimeError("no free ports")
+
+
+class Instance:
+    def __init__(self, binary, directory, name, store_port):
+        self.binary, self.directory, self.name = binary, directory, name
+        base = free_ports(18)
+        self.port, self.ready_port, self.metrics_port = base, base + 1, base + 2
+        self.proxy = FaultProxy(store_port)
+        self.process = None
+
+    async def prepare(self):
+        await self.proxy.start()
+        store = {"address": f"{HOST}:{self.proxy.port}"}
+        settings = {
+            "node": self.name, "zone": "z1", "ip": HOST,
+            "listen": {"frontend": f"{HOST}:{self.port}", "readiness": f"{HOST}:{self.ready_port}"},
+            "internalPorts": [self.metrics_port, self.metrics_port + 15],
+            "limits": {"cpuShare": 1, "memoryMb": 260, "maxFds": 1000},
+            "bounds": {"graceS": 6, "stabilityWindowMs": 4000},
+            "platform": store, "cloudApi": store,
+        }
+        self.settings = os.path.join(self.directory, f"{self.name}.json")
+        with open(self.settings, "w") as file:
+            json.dump(settings, file)
+
+    async def start(self):
+        log = open(os.path.join(self.directory, f"{self.name}.log"), "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.binary, "serve", stdout=log, stderr=log,
+            env={"PATH": os.environ["PATH"], "PAPAYASPINDLE_SETTINGS": self.settings},
+        )
+        log.close()
+
+    async def is_ready(self):
+        try:
+            reader, writer = await asyncio.open_connection(HOST, self.ready_port)
+            writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            status = await asyncio.wait_for(reader.readline(), 2)
+            writer.close()
+            return b" 200 " in status
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    def send(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def fetch_metrics(self):
+        reader, writer = await asyncio.open_connection(HOST, self.metrics_port)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        text = (await reader.read()).decode()
+        writer.close()
+        return text
+
+    def log_text(self):
+        with open(os.path.join(self.directory, f"{self.name}.log"), errors="replace") as file:
+            return file.read()
+
+
+class Refused(Exception):
+    """An ERROR answer; the argument is its code."""
+
+
+class Client:
+    def __init__(self, instance):
+        self.instance = instance
+
+    async def open(self, database):
+        self.reader, self.writer = await asyncio.open_connection(HOST, self.instance.port)
+        self.writer.write(f"START {database} u1\r\n".encode())
+        line = await asyncio.wait_for(self.reader.readline(), 3)
+        if line.startswith(b"ERROR"):
+            raise Refused(line.split()[1].decode())
+        if not line.startswith(b"READY"):
+            raise ConnectionError("no greeting")
+        return self
+
+    async def ask(self, ident, text, timeout=4):
+        self.writer.write(f"QUERY {ident} {text}\r\n".encode())
+        rows, code = [], None
+        while True:
+            line = (await asyncio.wait_for(self.reader.readline(), timeout)).decode()
+            if not line.endswith("\r\n"):
+                raise ConnectionError("cut off")
+            word, _, rest = line[:-2].partition(" ")
+            if word == "ROW":
+                rows.append(rest)
+            elif word == "ERROR":
+                code = rest.split(" ")[0]
+            elif word == "READY":
+                if code:
+                    raise Refused(code)
+                return rows
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+class Ledger:
+    """What clients were told of their writes."""
+
+    def __init__(self):
+        self.acknowledged, self.refused, self.unknown = set(), set(), set()
+        self.attempts = 0
+        self.last_success = time.monotonic()
+
+    def violations(self, group):
+        """Promises broken, judged by the log of the group's primary. Commits that a
+        promotion rolled back are in no log: the stand-in's replicas receive at once, so
+        here no acknowledged one may be missing."""
+        found = {}
+        for _, _, writes in group.primary.log:
+            for item in writes:
+                found[item] = found.get(item, 0) + 1
+        problems = [f"acknowledged write {i} is lost" for i in self.acknowledged if i not in found]
+        problems += [f"refused write {i} is kept" for i in self.refused if i in found]
+        problems += [f"write {i} is kept {n} times" for i, n in found.items() if n > 1]
+        return problems
+
+
+async def write_once(client, ledger, item):
+    """One write, alone or in a transaction, and a read of it by the same session."""
+    ledger.attempts += 1
+    sent_commit = False
+    in_transaction = ledger.attempts % 3 == 0
+    try:
+        if in_transaction:
+            await client.ask(f"{item}b", "BEGIN")
+            await client.ask(f"{item}w", f"WRITE {item} data")
+            sent_commit = True
+            await client.ask(f"{item}c", "COMMIT")
+        else:
+            sent_commit = True
+            await client.ask(f"{item}w", f"WRITE {item} data")
+    except Refused as refusal:
+        code = refusal.args[0]
+        (ledger.refused if code in PROMISES or not sent_commit else ledger.unknown).add(item)
+        if in_transaction and not sent_commit:
+            await client.ask(f"{item}r", "ROLLBACK")
+        return
+    except (ConnectionError, asyncio.TimeoutError, OSError):
+        (ledger.unknown if sent_commit else ledger.refused).add(item)
+        raise
+    ledger.acknowledged.add(item)
+    ledger.last_success = time.monotonic()
+    try:
+        rows = await client.ask(f"{item}v", f"READ {item}")
+    except Refused:
+        return
+    if rows != ["data"]:
+        raise AssertionError(f"session does not see its own write {item}: {rows}")
+
+
+class System:
+    def __init__(self, binary, instances=3, lag_s=0.05):
+        self.binary, self.lag_s = binary, lag_s
+        self.directory = tempfile.mkdtemp(prefix="papayaspindle-e2e-")
+        self.names = [f"instance-{n}" for n in range(instances)]
+        self.version = 0
+        self.databases = {"main": "primary", "views": "bounded", "ledger": "read_your_writes"}
+
+    async def __aenter__(self):
+        self.store = Store()
+        await self.store.start()
+        self.group = Group(self.store, "g1", 3, self.lag_s)
+        await self.group.start()
+        self.configure()
+        self.instances = [Instance(self.binary, self.directory, n, self.store.port) for n in self.names]
+        for instance in self.instances:
+            await instance.prepare()
+            await instance.start()
+        await self.until(self.all_ready, 15, "instances are ready")
+        return self
+
+    async def __aexit__(self, *_):
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+            await instance.process.wait()
+
+    def configure(self):
+        self.version += 3
+        routes = [
+            {"name": f"r-{d}", "host": d, "prefix": "/", "routeType": kind, "timeoutMs": 800,
+             "targetLatencyMs": 200, "priority": 1, "backend": "g1", "attempts": 2,
+             **({} if kind == "primary" else {"maxStalenessMs": 1500})}
+            for d, kind in self.databases.items()
+        ]
+        config = {
+            "version": self.version, "routes": routes,
+            "backends": [{"name": "g1", "maxConns": 32, "syncReplicas": 0}],
+            "limits": {"txIdleMs": 3000},
+        }
+        self.store.put("op", "config", json.dumps(config).encode())
+
+    async def all_ready(self):
+        return all([await i.is_ready() for i in self.instances])
+
+    async def until(self, condition, limit_s, what):
+        end = time.monotonic() + limit_s
+        while not await condition():
+            if time.monotonic() > end:
+                raise AssertionError(f"not within {limit_s} s: {what}; logs in {self.directory}")
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/e2e/standin.py
@@ -0,0 +1,366 @@
+"""Stand-ins on loopback for what an entry instance meets on the users' platform: the row
+store with the promotion call, and database groups whose members speak the line protocol.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import time
+import urllib.parse
+
+HOST = "127.0.0.1"
+
+
+class FaultProxy:
+    """Forwards connections to a port; a fault mode applies to all of them."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.mode = "pass"  # pass, delay, silent, one_way, refuse
+        self.writers = set()
+        self.port = None
+
+    async def start(self):
+        server = await asyncio.start_server(self._accept, HOST, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def reset(self):
+        """Resets every open connection."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _accept(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(HOST, self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        await asyncio.gather(
+            self._pump(reader, up_writer, False), self._pump(up_reader, writer, True)
+        )
+        self.writers -= {writer, up_writer}
+
+    async def _pump(self, reader, writer, is_answer):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silent" or (self.mode == "one_way" and is_answer):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+
+class Store:
+    """The row store; also takes the promotion call."""
+
+    def __init__(self):
+        self.rows = {}  # (table, key) -> (value bytes, ver)
+        self.changes = []  # (ver, table, key, value or None)
+        self.ver = 0
+        self.mode = "ok"  # ok, busy, lost
+        self.groups = {}
+        self.token = {}
+        self.changed = asyncio.Event()
+        self.port = None
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def put(self, table, key, value):
+        self.ver += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[(table, key)] = (value, self.ver)
+        self.changes.append((self.ver, table, key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        self.changes = []
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                method, target, _ = head.split("\r\n")[0].split(" ")
+                headers = dict(
+                    line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
+                )
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                status, answer = await self._answer(method, target, headers, body)
+                if status is None:
+                    writer.transport.abort()
+                    return
+                text = json.dumps(answer).encode()
+                writer.write(
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                    f"Content-Length: {len(text)}\r\n\r\n".encode() + text
+                )
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _answer(self, method, target, headers, body):
+        url = urllib.parse.urlparse(target)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        if self.mode == "busy":
+            return 503, {}
+        if url.path == "/promote":
+            return self._promote(headers, json.loads(body))
+        if url.path == "/v1/rows-tx":
+            answer = self._transact(json.loads(body))
+            return (None, None) if self.mode == "lost" else answer
+        if url.path == "/v1/rows-get":
+            rows = [
+                self._row(table, key)
+                for table, key in sorted(self.rows)
+                if table == query["table"] and key >= query.get("from", "")
+            ]
+            return 200, {"rows": rows, "hasMore": False, **self._now()}
+        return await self._feed(query)
+
+    def _now(self):
+        return {"ver": self.ver, "nowMs": int(time.monotonic() * 1000)}
+
+    def _row(self, table, key):
+        value, ver = self.rows[(table, key)]
+        text = base64.b64encode(value).decode()
+        return {"table": table, "part": "", "key": key, "value": text, "ver": ver}
+
+    def _transact(self, body):
+        for row in body.get("expect", []):
+            found = self.rows.get((row["table"], row["key"]))
+            if (found[1] if found else 0) != row["ver"]:
+                return 412, {"rows": [], **self._now()}
+        for row in body["writes"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        return 200, self._now()
+
+    async def _feed(self, query):
+        after, table = int(query["after"]), query["table"]
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            oldest = self.changes[0][0] if self.changes else self.ver + 1
+            if after + 1 < oldest:
+                return 410, {}
+            rows = []
+            for ver, of, key, value in self.changes:
+                if of == table and ver > after:
+                    row = {"table": of, "part": "", "key": key, "ver": ver}
+                    text = base64.b64encode(value or b"").decode()
+                    rows.append(row | ({"deleted": True} if value is None else {"value": text}))
+            left = end - time.monotonic()
+            if rows or left <= 0:
+                return 200, {"rows": rows, **self._now()}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def _promote(self, headers, body):
+        group = self.groups[body["backend"]]
+        token = int(headers["x-fencing-token"])
+        member = group.members.get(body["id"])
+        if token < self.token.get(group.name, 0) or member is None or not member.lives:
+            return 409, {}
+        self.token[group.name] = token
+        group.promote(member)
+        return 200, {}
+
+
+class Member:
+    def __init__(self, group, name, is_primary):
+        self.group, self.name = group, name
+        self.is_primary = is_primary
+        self.log = []  # commits: (term, number, {item: data})
+        self.lives = True
+        self.server = None
+        self.writers = set()
+        self.proxy = None
+        self.born = int(time.time() * 1000)
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.proxy = FaultProxy(self.server.sockets[0].getsockname()[1])
+        await self.proxy.start()
+
+    def applied(self):
+        """Commits that reads see: replicas are some time behind."""
+        if self.is_primary:
+            return self.log
+        limit = time.monotonic() - self.group.lag_s
+        return [c for c in self.log if self.group.committed_at[c[:2]] <= limit]
+
+    def position(self):
+        log = self.applied()
+        return f"{log[-1][0]}.{log[-1][1]}" if log else f"{self.group.first_term}.0"
+
+    def crash(self):
+        self.lives = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def restart(self):
+        self.lives = True
+        if self.group.primary is not self:
+            self.is_primary = False
+            self.log = list(self.group.primary.log)
+        self.group.publish()
+
+    async def _serve(self, reader, writer):
+        if not self.lives:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        session = {"tx": None, "kind": None, "values": {}, "prepared": {}}
+        try:
+            line = (await reader.readuntil(b"\r\n"))[:-2].decode().split(" ")
+            if line[1] != self.group.name or (len(line) > 3 and line[3] != self.name):
+                writer.write(b"ERROR MISROUTED -\r\n")
+                return
+            writer.write(f"READY I {self.position()}\r\n".encode())
+            while True:
+                text = (await reader.readuntil(b"\r\n"))[:-2].decode()
+                word, ident, query = text.split(" ", 2)
+                writer.write(self._run(session, ident, query).encode())
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    def _state(self, session):
+        return "I" if session["tx"] is None else "T"
+
+    def _ready(self, session):
+        return f"READY {self._state(session)} {self.position()}\r\n"
+
+    def _error(self, session, code):
+        return f"ERROR {code} {self.name}\r\n" + self._ready(session)
+
+    def _done(self, session, rows, signed):
+        signature = f"7.{next(self.group.signatures)}.{self.name}" if signed else "-"
+        return "".join(f"ROW {r}\r\n" for r in rows) + f"COMPLETE {signature}\r\n" + self._ready(session)
+
+    def _run(self, session, ident, query):
+        if query.startswith("AFTER "):
+            _, position, query = query.split(" ", 2)
+            needed = tuple(int(n) for n in position.split("."))
+            if tuple(int(n) for n in self.position().split(".")) < needed:
+                return self._error(session, "LAGGING")
+        verb, _, rest = query.partition(" ")
+        if verb == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in session["prepared"]:
+                return self._error(session, "NOSTMT")
+            verb = session["prepared"][name]
+        if verb == "PREPARE":
+            name, kind, _ = rest.split(" ", 2)
+            session["prepared"][name] = kind
+        elif verb == "SET":
+            name, _, value = rest.partition(" ")
+            session["values"][name] = value
+        elif verb == "RESET":
+            session["values"], session["prepared"] = {}, {}
+        elif verb == "STATUS" or verb == "PAUSE":
+            role = "primary" if self.is_primary else "replica"
+            last = self.log[-1][:2] if self.log else (self.group.first_term, 0)
+            row = f"{role} {self.group.term} {last[0]}.{last[1]} 0 0 0 1"
+            return self._done(session, [row], False)
+        elif verb == "BEGIN":
+            if rest != "READ" and not self.is_primary:
+                return self._error(session, "READONLY")
+            session["tx"], session["kind"] = {}, rest
+        elif verb == "ROLLBACK":
+            session["tx"] = None
+        elif verb == "READ":
+            if session["tx"] is not None and session["kind"] != "READ" and not self.is_primary:
+                return self._error(session, "READONLY")
+            return self._done(session, self._read(session, rest), True)
+        elif verb == "WRITE":
+            return self._write(session, ident, rest)
+        elif verb == "COMMIT":
+            writes, session["tx"] = session["tx"], None
+            if writes and not self.is_primary:
+                return self._error(session, "READONLY")
+            if writes:
+                self.group.commit(writes)
+            return self._done(session, [], True)
+        return self._done(session, [], False)
+
+    def _read(self, session, item):
+        data = next((c[2][item] for c in reversed(self.applied()) if item in c[2]), "-")
+        return [(session["tx"] or {}).get(item, data)]
+
+    def _write(self, session, ident, rest):
+        if not self.is_primary:
+            return self._error(session, "READONLY")
+        item, _, data = rest.partition(" ")
+        if session["tx"] is None:
+            self.group.commit({item: data})
+        else:
+            session["tx"][item] = data
+        return self._done(session, [], True)
+
+
+class Group:
+    """A primary and its replicas, which receive each commit at once and apply it later."""
+
+    def __init__(self, store, name, size, lag_s):
+        self.store, self.name, self.lag_s = store, name, lag_s
+        self.first_term = self.term = 1
+        self.number = 0
+        self.signatures = itertools.count(1)
+        self.committed_at = {}
+        self.members = {f"i-{name}-{n}": Member(self, f"i-{name}-{n}", n == 0) for n in range(size)}
+        self.primary = next(iter(self.members.values()))
+        store.groups[name] = self
+
+    async def start(self):
+        for member in self.members.values():
+            await member.start()
+        self.publish()
+
+    def publish(self):
+        for member in self.members.values():
+            row = {
+                "backend": self.name, "address": f"{HOST}:{member.proxy.port}", "zone": "z1",
+                "version": "v1", "capacity": 2, "state": "ready", "warmupLeftMs": 0,
+                "dbRole": "primary" if member.is_primary else "replica", "seq": 1,
+                "born": member.born,
+            }
+            self.store.put("servers", member.name, json.dumps(row).encode() if member.lives else None)
+
+    def commit(self, writes):
+        self.number += 1
+        commit = (self.term, self.number, dict(writes))
+        self.committed_at[commit[:2]] = time.monotonic()
+        for member in self.members.values():
+            if member.lives:
+                member.log.append(commit)
+
+    def promote(self, member):
+        if member is self.primary:
+            return
+        self.term += 1
+        self.primary.is_primary = False
+        member.is_primary = True
+        self.primary = member
+        for other in self.members.values():
+            other.log = list(member.log)
+        self.publish()
