Open a connection only where the window has room for a statement

An instance opened a connection whenever its window was full although others were idle; a handshake of 27 ms takes a slot for as long as a statement. Change: NeedsConnection; a test of that load that failed before (3 of at most 2).

--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -153,6 +153,9 @@
                   Operation& aOperation,
                   Group& aGroup,
                   TimePoint aNow);
+  /** @return whether one more connection would let one more statement be sent; a
+   * handshake takes a slot for longer than most statements */
+  [[nodiscard]] static bool NeedsConnection(const Member& aMember);
   bool UseIdle(OperationKey aKey,
                Operation& aOperation,
                Member& aMember,
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -182,7 +182,7 @@
     }
   }
   for (Member* member : candidates) {
-    if (member->mOpening == 0 && MayOpen(*member, aGroup, aNow)) {
+    if (NeedsConnection(*member) && MayOpen(*member, aGroup, aNow)) {
       Open(*member, aNow);
       break;
     }
@@ -213,12 +213,19 @@
   if (UseIdle(aKey, aOperation, primary, std::nullopt, aNow)) {
     return true;
   }
-  if (MayOpen(primary, aGroup, aNow)) {
+  if (NeedsConnection(primary) && MayOpen(primary, aGroup, aNow)) {
     Open(primary, aNow);
   }
   return false;
 }
 
+bool
+ProxyCore::NeedsConnection(const Member& aMember)
+{
+  return aMember.mIdle.empty() &&
+         aMember.mInFlight + aMember.mOpening < aMember.mWindow.Limit();
+}
+
 void
 ProxyCore::SearchLeader(Group& aGroup, TimePoint aNow)
 {
--- a/tests/auto/proxy/tst_proxyoverload.cpp
+++ b/tests/auto/proxy/tst_proxyoverload.cpp
@@ -89,6 +89,27 @@
   REQUIRE(work.QueuedOf(5ms) <= 0ms);
 }
 
+// Pattern: all instances restart together. A handshake takes a slot for longer than most
+// statements, and connections that the window leaves unused kept the slots busy.
+TEST_CASE("no connection is opened while the window has no room for a statement")
+{
+  CoreFixture fixture;
+  for (SessionKey session = 1; session <= 20; session++) {
+    fixture.Start(session, "main");
+    fixture.Say(session, StatementKind::Write, "item data");
+  }
+  fixture.Advance(100ms);
+  std::size_t toPrimary = 0;
+  for (const auto& [key, member] : fixture.mMemberOf) {
+    toPrimary += member == "p" ? 1 : 0;
+  }
+  for (const auto& [key, member] : fixture.mOpening) {
+    toPrimary += member == "p" ? 1 : 0;
+  }
+  // The first window holds two statements.
+  REQUIRE(toPrimary <= 2);
+}
+
 // Pattern: more callers than connections; a refusal beyond the own share must not stop
 // the instance from opening within it.
 TEST_CASE("a refused borrowed connection leaves the own share alone")
--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -125,7 +125,8 @@
     entry.mRevision++;
   }
   fixture.mCore.OnConnectionFailed(fixture.mMemberOf.begin()->first, fixture.mNow);
-  const auto [key, member] = fixture.mOpening.back();
+  const ConnectionKey key = fixture.mOpening.back().first;
+  const std::string member = fixture.mOpening.back().second;
   fixture.mCore.OnConnectionRefused(key, AnswerCode::Misrouted, fixture.mNow);
   fixture.mOpening.clear();
   fixture.Advance(5s);
