Resume paused replicas after a failed promotion; move members between groups

A member whose entry names another group stayed a candidate of its old one, and a dangling id after it left. Change: ResumeCandidates, MoveMember, with tests that failed before.

--- a/src/libs/proxy/promotioncoordinator.cpp
+++ b/src/libs/proxy/promotioncoordinator.cpp
@@ -4,6 +4,7 @@
 #include "proxy/proxytimes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaspindle::proxy {
 
@@ -291,6 +292,7 @@
   // Where commits wait for a replica, what a paused replica lacks can't be acknowledged.
   command.mKind = mustBeSafe ? CommandKind::Pause : CommandKind::Status;
   command.mTerm = mustBeSafe ? mHooks.mNewestTerm(aGroup) + 1 : 0;
+  run.mHasPaused = mustBeSafe;
   const std::vector<Candidate> asked = run.mCandidates;
   for (const Candidate& candidate : asked) {
     mHooks.mQueryStatus(candidate.mMember,
@@ -402,6 +404,8 @@
                 { "answer", std::to_string(static_cast<int>(aAnswer)) } });
   if (aAnswer == PromotionAnswer::Accepted) {
     mHooks.mExpect(aGroup, run.mTarget, now);
+    // The promotion itself resumes the replicas.
+    run.mHasPaused = false;
     Abandon(run, kClaimSpacing, now);
   } else if (aAnswer == PromotionAnswer::Refused) {
     run.mRefused[run.mTarget] = now + kRefusedPause;
@@ -414,9 +418,28 @@
   }
 }
 
+void
+PromotionCoordinator::ResumeCandidates(GroupRun& aRun, TimePoint aNow)
+{
+  if (!std::exchange(aRun.mHasPaused, false)) {
+    return;
+  }
+  MemberCommand resume;
+  resume.mKind = CommandKind::Resume;
+  for (const Candidate& candidate : aRun.mCandidates) {
+    // A replica that misses it is resumed by the next promotion or its restart.
+    mHooks.mQueryStatus(candidate.mMember,
+                        resume,
+                        kChoiceTime,
+                        aNow,
+                        [](const std::optional<MemberReply>&) {});
+  }
+}
+
 void
 PromotionCoordinator::Abandon(GroupRun& aRun, Duration aPause, TimePoint aNow)
 {
+  ResumeCandidates(aRun, aNow);
   aRun.mPhase = Phase::Watching;
   aRun.mIsCalling = false;
   aRun.mRun++;
--- a/src/libs/proxy/promotioncoordinator.h
+++ b/src/libs/proxy/promotioncoordinator.h
@@ -92,6 +92,8 @@
     /** Member that the promotion replaces. */
     std::string mReplaced;
     std::vector<Candidate> mCandidates;
+    /** The candidates were paused, and no promotion has resumed them yet. */
+    bool mHasPaused = false;
     TimePoint mChoiceDeadline;
     std::string mTarget;
     std::uint32_t mCalls = 0;
@@ -135,6 +137,8 @@
   void OnCallAnswer(const std::string& aGroup,
                     std::uint64_t aRun,
                     PromotionAnswer aAnswer);
+  /** Lets paused replicas receive again after an attempt that has failed. */
+  void ResumeCandidates(GroupRun& aRun, TimePoint aNow);
   void Abandon(GroupRun& aRun, Duration aPause, TimePoint aNow);
   [[nodiscard]] const SeenRow* Find(const std::string& aKey) const;
 
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -48,6 +48,9 @@
   for (const MemberEntry& entry : aEntries) {
     listed.insert(entry.mId);
     Member& member = mMembers[entry.mId];
+    if (!member.mEntry.mId.empty() && member.mEntry.mGroup != entry.mGroup) {
+      MoveMember(member, aNow);
+    }
     const bool isNew = member.mEntry.mId.empty();
     const bool isRestarted = !isNew && member.mEntry.mStartedAtMs != entry.mStartedAtMs;
     const bool isMoved = !isNew && member.mEntry.mAddress != entry.mAddress;
@@ -106,6 +109,23 @@
   }
 }
 
+void
+ProxyCore::MoveMember(Member& aMember, TimePoint aNow)
+{
+  // Statements of the old group must not reach the member under its new one.
+  std::vector<ConnectionKey> connections;
+  for (const auto& [key, connection] : mConnections) {
+    if (connection.mMember == aMember.mEntry.mId) {
+      connections.push_back(key);
+    }
+  }
+  aMember.mIsListed = false;
+  std::erase(mGroups[aMember.mEntry.mGroup].mMembers, aMember.mEntry.mId);
+  for (const ConnectionKey key : connections) {
+    OnConnectionFailed(key, aNow);
+  }
+}
+
 void
 ProxyCore::OnHomesChanged(TimePoint aNow)
 {
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -265,6 +265,8 @@
   void FinishStatusQuery(std::size_t aIndex, const std::optional<MemberReply>& aReply);
 
   // proxycore.cpp
+  /** Takes a member out of its group because its entry names another one. */
+  void MoveMember(Member& aMember, TimePoint aNow);
   void MaintainSessions(TimePoint aNow);
   Group* FindGroup(std::string_view aName);
   [[nodiscard]] const Group* FindGroup(std::string_view aName) const;
--- a/tests/auto/proxy/storeworld.h
+++ b/tests/auto/proxy/storeworld.h
@@ -236,8 +236,13 @@
                                 Duration aTimeout,
                                 TimePoint,
                                 StatusHook aHook) {
-      mLastQuery = aCommand.mKind;
       const std::string member(aMember);
+      if (aCommand.mKind == CommandKind::Pause) {
+        mPaused.insert(member);
+        mWasPaused = true;
+      } else if (aCommand.mKind == CommandKind::Resume) {
+        mPaused.erase(member);
+      }
       if (mSilentReplicas.contains(member)) {
         At(aTimeout, [aHook] { aHook(std::nullopt); });
         return;
@@ -260,7 +265,8 @@
   std::mt19937_64 mRandom;
 
 public:
-  CommandKind mLastQuery = CommandKind::Read;
+  std::set<std::string> mPaused;
+  bool mWasPaused = false;
 };
 
 } // namespace papayaspindle::proxy
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -88,7 +88,12 @@
   world.Run(6s);
   // The silent one may hold the only copy of an acknowledged commit.
   REQUIRE(world.mAccepted.empty());
-  REQUIRE(world.mLastQuery == CommandKind::Pause);
+  REQUIRE(world.mWasPaused);
+  // A replica that stays paused would keep a living primary from acknowledging anything.
+  world.mPrimaryLives = true;
+  world.Run(4s);
+  REQUIRE(world.mPaused.empty());
+  world.mPrimaryLives = false;
   world.mSilentReplicas.clear();
   world.Run(6s);
   REQUIRE(world.Promoted() == std::vector<std::string>{ "r1" });
--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -118,6 +118,24 @@
   REQUIRE(fixture.MemberOf(fixture.Last(CommandKind::Read)) == "p");
 }
 
+TEST_CASE("a member whose entry names another group gets nothing more of the old one")
+{
+  CoreFixture fixture;
+  fixture.SampleByWrite({ 1, 10 });
+  for (std::size_t index = 1; index <= 2; index++) {
+    fixture.mEntries[index].mGroup = "other";
+    fixture.mEntries[index].mRevision = 12;
+  }
+  fixture.mCore.OnDirectory(fixture.mEntries, fixture.mNow);
+  fixture.Start(1, "views");
+  fixture.Say(1, StatementKind::Read, "item");
+  REQUIRE(fixture.MemberOf(fixture.Last(CommandKind::Read)) == "p");
+  fixture.mEntries.resize(1);
+  fixture.mCore.OnDirectory(fixture.mEntries, fixture.mNow);
+  fixture.Advance(10s);
+  REQUIRE(fixture.mCore.ReplicasOf("group").empty());
+}
+
 TEST_CASE("a member that answers under another id gets nothing until its entry changes")
 {
   CoreFixture fixture;
