--- /dev/null
+++ b/src/libs/proxy/promotioncoordinator_run.cpp
@@ -0,0 +1,189 @@
+#include "proxy/promotioncoordinator.h"
+
+#include "proxy/promotiontimes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaspindle::proxy {
+
+void
+PromotionCoordinator::Choose(const std::string& aGroup, TimePoint aNow)
+{
+  GroupRun& run = mRuns[aGroup];
+  run.mPhase = Phase::Choosing;
+  run.mCandidates.clear();
+  const bool mustBeSafe = mHooks.mSynchronousReplicas(aGroup) > 0;
+  run.mChoiceDeadline = aNow + (mustBeSafe ? kSafeChoiceTime : kChoiceTime);
+  for (const MemberEntry& replica : mHooks.mReplicas(aGroup)) {
+    const auto refused = run.mRefused.find(replica.mId);
+    const bool isRefused = refused != run.mRefused.end() && refused->second > aNow;
+    if (!replica.mDraining && !isRefused) {
+      run.mCandidates.push_back({ replica.mId, std::nullopt, false });
+    }
+  }
+  if (run.mCandidates.empty()) {
+    mHooks.mLog(LogLevel::Warning, "no_replica_to_promote", { { "group", aGroup } });
+    Abandon(run, kAbandonPause, aNow);
+    return;
+  }
+  MemberCommand command;
+  // Where commits wait for a replica, what a paused replica lacks can't be acknowledged.
+  command.mKind = mustBeSafe ? CommandKind::Pause : CommandKind::Status;
+  command.mTerm = mustBeSafe ? mHooks.mNewestTerm(aGroup) + 1 : 0;
+  run.mHasPaused = mustBeSafe;
+  const std::vector<Candidate> asked = run.mCandidates;
+  for (const Candidate& candidate : asked) {
+    mHooks.mQueryStatus(candidate.mMember,
+                        command,
+                        run.mChoiceDeadline - aNow,
+                        aNow,
+                        [this, aGroup, number = run.mRun, member = candidate.mMember](
+                          const std::optional<MemberReply>& aReply) {
+                          GroupRun& current = mRuns[aGroup];
+                          if (current.mRun != number ||
+                              current.mPhase != Phase::Choosing) {
+                            return;
+                          }
+                          bool isComplete = true;
+                          for (Candidate& other : current.mCandidates) {
+                            if (other.mMember == member) {
+                              other.mIsAnswered = true;
+                              other.mStatus = aReply ? aReply->mStatus : std::nullopt;
+                            }
+                            isComplete = isComplete && other.mIsAnswered;
+                          }
+                          if (isComplete) {
+                            FinishChoice(aGroup, current, mHooks.mNow());
+                          }
+                        });
+  }
+}
+
+void
+PromotionCoordinator::FinishChoice(const std::string& aGroup,
+                                   GroupRun& aRun,
+                                   TimePoint aNow)
+{
+  const Candidate* best = nullptr;
+  std::size_t answers = 0;
+  for (const Candidate& candidate : aRun.mCandidates) {
+    if (!candidate.mStatus) {
+      continue;
+    }
+    answers++;
+    if (best == nullptr || candidate.mStatus->mReceived > best->mStatus->mReceived) {
+      best = &candidate;
+    }
+  }
+  const std::size_t replicas = mHooks.mReplicas(aGroup).size();
+  const std::uint32_t synchronous = mHooks.mSynchronousReplicas(aGroup);
+  // Any so many replicas include one that received each acknowledged commit.
+  const std::size_t needed =
+    synchronous == 0 ? 1 : replicas - std::min<std::size_t>(synchronous, replicas) + 1;
+  if (best == nullptr || answers < needed) {
+    mHooks.mLog(LogLevel::Warning,
+                "too_few_replicas_answered",
+                { { "group", aGroup },
+                  { "answers", std::to_string(answers) },
+                  { "needed", std::to_string(needed) } });
+    Abandon(aRun, kAbandonPause, aNow);
+    return;
+  }
+  aRun.mTarget = best->mMember;
+  mHooks.mLog(LogLevel::Info,
+              "promotion_chosen",
+              { { "group", aGroup },
+                { "member", aRun.mTarget },
+                { "received", ToString(best->mStatus->mReceived) },
+                { "answers", std::to_string(answers) },
+                { "token", std::to_string(aRun.mToken) } });
+  aRun.mPhase = Phase::Promoting;
+  aRun.mCalls = 0;
+  Call(aGroup, aRun, aNow);
+}
+
+void
+PromotionCoordinator::Call(const std::string& aGroup, GroupRun& aRun, TimePoint aNow)
+{
+  const SeenRow* seen = Find(LeadershipKey(aGroup));
+  const auto current =
+    seen == nullptr ? std::nullopt : DecodeLeadership(seen->mRow.mValue);
+  if (current && current->mToken > aRun.mToken) {
+    mHooks.mLog(LogLevel::Info,
+                "promotion_superseded",
+                { { "group", aGroup }, { "holder", current->mHolder } });
+    Abandon(aRun, kAbandonPause, aNow);
+    return;
+  }
+  aRun.mIsCalling = true;
+  aRun.mCalls++;
+  mStore.mPromote({ aGroup, aRun.mTarget, mInstance, aRun.mToken },
+                  [this, aGroup, number = aRun.mRun](PromotionAnswer aAnswer) {
+                    OnCallAnswer(aGroup, number, aAnswer);
+                  });
+}
+
+void
+PromotionCoordinator::OnCallAnswer(const std::string& aGroup,
+                                   std::uint64_t aRun,
+                                   PromotionAnswer aAnswer)
+{
+  GroupRun& run = mRuns[aGroup];
+  const TimePoint now = mHooks.mNow();
+  if (run.mRun != aRun || run.mPhase != Phase::Promoting) {
+    return;
+  }
+  run.mIsCalling = false;
+  mHooks.mLog(LogLevel::Info,
+              "promotion_answered",
+              { { "group", aGroup },
+                { "member", run.mTarget },
+                { "token", std::to_string(run.mToken) },
+                { "answer", std::to_string(static_cast<int>(aAnswer)) } });
+  if (aAnswer == PromotionAnswer::Accepted) {
+    mHooks.mExpect(aGroup, run.mTarget, now);
+    // The promotion itself resumes the replicas.
+    run.mHasPaused = false;
+    Abandon(run, kClaimSpacing, now);
+  } else if (aAnswer == PromotionAnswer::Refused) {
+    run.mRefused[run.mTarget] = now + kRefusedPause;
+    Abandon(run, kAbandonPause, now);
+  } else if (run.mCalls < kMaxCalls) {
+    run.mCallAt = now + kCallPause;
+    mNextCheck = std::min(mNextCheck, run.mCallAt);
+  } else {
+    Abandon(run, kAbandonPause, now);
+  }
+}
+
+void
+PromotionCoordinator::ResumeCandidates(GroupRun& aRun, TimePoint aNow)
+{
+  if (!std::exchange(aRun.mHasPaused, false)) {
+    return;
+  }
+  MemberCommand resume;
+  resume.mKind = CommandKind::Resume;
+  for (const Candidate& candidate : aRun.mCandidates) {
+    // A replica that misses it is resumed by the next promotion or its restart.
+    mHooks.mQueryStatus(candidate.mMember,
+                        resume,
+                        kChoiceTime,
+                        aNow,
+                        [](const std::optional<MemberReply>&) {});
+  }
+}
+
+void
+PromotionCoordinator::Abandon(GroupRun& aRun, Duration aPause, TimePoint aNow)
+{
+  ResumeCandidates(aRun, aNow);
+  aRun.mPhase = Phase::Watching;
+  aRun.mIsCalling = false;
+  aRun.mRun++;
+  aRun.mClaimAfter = aNow + aPause;
+  aRun.mReasonSince.reset();
+}
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/promotiontimes.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/timetypes.h"
+
+#include <cstdint>
+
+namespace papayaspindle::proxy {
+
+using namespace std::chrono_literals;
+
+/** Interval of the checks while nothing is wrong, and during a promotion. */
+constexpr Duration kWatchInterval = 100ms;
+constexpr Duration kActiveInterval = 20ms;
+
+/** A primary that leaves or is gone from the directory may be a passing state of it. */
+constexpr Duration kGonePatience = 300ms;
+/** Time for other instances to object to a doubt: two calls to the store and a feed. */
+constexpr Duration kObjectionTime = 200ms;
+/** The same when no other instance shares the doubt. */
+constexpr Duration kLonelyObjectionTime = 900ms;
+/** An opinion counts this long, and is renewed in half of it. */
+constexpr Duration kOpinionLasts = 3s;
+/** An instance that had an answer from the primary within this time objects to doubts. */
+constexpr Duration kAliveEvidence = 400ms;
+
+/** After a claim by any instance, no other one follows for this long: the promotion needs
+ * about a second. */
+constexpr Duration kClaimSpacing = 2500ms;
+/** Instances wait up to this long, each another time, so that mostly one claims. */
+constexpr std::uint64_t kClaimSpreadMs = 60;
+
+/** Time for the replicas to say what they received. */
+constexpr Duration kChoiceTime = 300ms;
+/** The same where acknowledged commits must not be missed. */
+constexpr Duration kSafeChoiceTime = 2s;
+/** Pause before a promotion call without an answer is repeated with its token. */
+constexpr Duration kCallPause = 100ms;
+constexpr std::uint32_t kMaxCalls = 6;
+/** A member that refused a promotion is left out for this long. */
+constexpr Duration kRefusedPause = 1500ms;
+constexpr Duration kAbandonPause = 300ms;
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -156,18 +156,12 @@
                   Operation& aOperation,
                   Group& aGroup,
                   TimePoint aNow);
-  /** @return whether one more connection would let one more statement be sent; a
-   * handshake takes a slot for longer than most statements */
-  [[nodiscard]] static bool NeedsConnection(const Member& aMember);
   bool UseIdle(OperationKey aKey,
                Operation& aOperation,
                Member& aMember,
                const std::optional<LogPosition>& aAfter,
                TimePoint aNow);
   void SearchLeader(Group& aGroup, TimePoint aNow);
-  std::vector<Member*> ReadCandidates(const Operation& aOperation,
-                                      const Group& aGroup,
-                                      TimePoint aNow);
   void Launch(OperationKey aKey,
               Operation& aOperation,
               ConnectionKey aConnection,
@@ -180,6 +174,22 @@
   /** @param aPause time before the next attempt */
   void Requeue(OperationKey aKey, Operation& aOperation, Duration aPause, TimePoint aNow);
   void LeaveFlight(Operation& aOperation);
+  void FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow);
+  void FailOperation(OperationKey aKey,
+                     AnswerCode aCode,
+                     std::string_view aWhy,
+                     TimePoint aNow);
+  void OnOperationTimer(OperationKey aKey, TimePoint aNow);
+  void ScheduleOperation(OperationKey aKey, TimePoint aAt);
+  void RemoveOperation(OperationKey aKey);
+
+  // proxycore_admission.cpp
+  /** @return whether one more connection would let one more statement be sent; a
+   * handshake takes a slot for longer than most statements */
+  [[nodiscard]] static bool NeedsConnection(const Member& aMember);
+  std::vector<Member*> ReadCandidates(const Operation& aOperation,
+                                      const Group& aGroup,
+                                      TimePoint aNow);
   [[nodiscard]] TimePoint WaitLimit(const Operation& aOperation) const;
   /** @return time until which the answer can come within the latency objective */
   [[nodiscard]] TimePoint ObjectiveLimit(const Operation& aOperation) const;
@@ -194,18 +204,8 @@
   /** @return waiting operations that need the same members and go first */
   [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
                                          const Group& aGroup) const;
-  /** @return shortest latency objective of the group's routes */
-  [[nodiscard]] Duration ShortestObjective(std::string_view aGroup) const;
   /** @return index in mWork of the operation's sort */
   [[nodiscard]] static std::size_t WorkIndex(const Operation& aOperation);
-  void FinishOperation(OperationKey aKey, ClientAnswer aAnswer, TimePoint aNow);
-  void FailOperation(OperationKey aKey,
-                     AnswerCode aCode,
-                     std::string_view aWhy,
-                     TimePoint aNow);
-  void OnOperationTimer(OperationKey aKey, TimePoint aNow);
-  void ScheduleOperation(OperationKey aKey, TimePoint aAt);
-  void RemoveOperation(OperationKey aKey);
   [[nodiscard]] std::optional<LogPosition> RequiredPosition(const Operation& aOperation,
                                                             const Group& aGroup,
                                                             TimePoint aNow,
@@ -217,6 +217,18 @@
                         const OutstandingCommand& aCommand,
                         MemberReply aReply,
                         TimePoint aNow);
+  void NoteNotLeading(Member& aMember, TimePoint aNow);
+  void FinishSuccess(ConnectionKey aConnection,
+                     OperationKey aKey,
+                     MemberReply aReply,
+                     TimePoint aNow);
+  [[nodiscard]] bool InTransaction(const Operation& aOperation) const;
+  void LearnPosition(const PoolConnection& aConnection,
+                     const OutstandingCommand& aCommand,
+                     const MemberReply& aReply,
+                     TimePoint aNow);
+
+  // proxycore_errors.cpp
   void OnTransactionError(OperationKey aKey,
                           Operation& aOperation,
                           const MemberReply& aReply,
@@ -226,19 +238,8 @@
                      const MemberReply& aReply,
                      TimePoint aNow);
   void NoteRefusal(Operation& aOperation, AnswerCode aCode, TimePoint aNow);
-  void NoteNotLeading(Member& aMember, TimePoint aNow);
-  void FinishSuccess(ConnectionKey aConnection,
-                     OperationKey aKey,
-                     MemberReply aReply,
-                     TimePoint aNow);
   void LoseOperation(OperationKey aKey, std::string_view aWhy, TimePoint aNow);
   void LoseSession(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow);
-  void OnStatusReply(ConnectionKey aKey, const MemberReply& aReply, TimePoint aNow);
-  [[nodiscard]] bool InTransaction(const Operation& aOperation) const;
-  void LearnPosition(const PoolConnection& aConnection,
-                     const OutstandingCommand& aCommand,
-                     const MemberReply& aReply,
-                     TimePoint aNow);
 
   // proxycore_connections.cpp
   /** @return connections to a member that this instance may always hold */
@@ -257,6 +258,9 @@
                                      PoolConnection& aConnection,
                                      const Statement& aStatement);
   ConnectionKey TakeIdle(Member& aMember, const Session& aSession);
+
+  // proxycore_maintenance.cpp
+  void OnStatusReply(ConnectionKey aKey, const MemberReply& aReply, TimePoint aNow);
   void MaintainPools(TimePoint aNow);
   void CheckSilentConnections(TimePoint aNow);
   void Sample(Member& aMember, ConnectionKey aConnection, TimePoint aNow);
@@ -265,6 +269,8 @@
   void FinishStatusQuery(std::size_t aIndex, const std::optional<MemberReply>& aReply);
 
   // proxycore.cpp
+  /** @return shortest latency objective of the group's routes */
+  [[nodiscard]] Duration ShortestObjective(std::string_view aGroup) const;
   /** Takes a member out of its group because its entry names another one. */
   void MoveMember(Member& aMember, TimePoint aNow);
   void MaintainSessions(TimePoint aNow);
--- /dev/null
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -0,0 +1,179 @@
+#include "proxy/proxycore.h"
+
+#include "proxy/proxytimes.h"
+
+#include <algorithm>
+
+namespace papayaspindle::proxy {
+
+TimePoint
+ProxyCore::WaitLimit(const Operation& aOperation) const
+{
+  return aOperation.mArrivedAt + std::chrono::duration_cast<Duration>(
+                                   aOperation.mRoute.mStatementTimeout * kWaitShare);
+}
+
+TimePoint
+ProxyCore::ObjectiveLimit(const Operation& aOperation) const
+{
+  return aOperation.mArrivedAt + std::chrono::duration_cast<Duration>(
+                                   aOperation.mRoute.mLatencyObjective * kObjectiveShare);
+}
+
+std::size_t
+ProxyCore::WorkIndex(const Operation& aOperation)
+{
+  const std::size_t kind = static_cast<std::size_t>(aOperation.mRoute.mConsistency);
+  const bool isCommit = aOperation.mStatement.mKind == StatementKind::Commit;
+  return kind + (isCommit ? kWorkKinds / 2 : 0);
+}
+
+std::size_t
+ProxyCore::WaitingAhead(const Operation& aOperation, const Group& aGroup) const
+{
+  const auto urgency = [&](const Operation& aOther) {
+    return std::pair(aOther.mRoute.mPriority, mWork[WorkIndex(aOther)].Base());
+  };
+  return static_cast<std::size_t>(
+    std::count_if(aGroup.mWaiting.begin(), aGroup.mWaiting.end(), [&](OperationKey aKey) {
+      const Operation& other = mOperations.at(aKey);
+      return &other != &aOperation && other.mNeedsPrimary == aOperation.mNeedsPrimary &&
+             !other.mIsLate && urgency(other) <= urgency(aOperation);
+    }));
+}
+
+std::optional<Duration>
+ProxyCore::PredictedWait(const Operation& aOperation, const Group& aGroup, TimePoint aNow)
+{
+  std::vector<const Member*> members;
+  if (aOperation.mNeedsPrimary || aOperation.mIsWrapped) {
+    if (const Member* primary = PrimaryMember(aGroup, aNow)) {
+      members.push_back(primary);
+    }
+  } else {
+    for (const Member* member : ReadCandidates(aOperation, aGroup, aNow)) {
+      members.push_back(member);
+    }
+  }
+  // Statements that this instance finishes at all of them in a second.
+  double perSecond = 0;
+  for (const Member* member : members) {
+    const double seconds =
+      std::chrono::duration<double>(std::max(member->mServiceTime, kShortestService))
+        .count();
+    perSecond += member->mWindow.Limit() / seconds;
+  }
+  if (perSecond <= 0) {
+    return std::nullopt;
+  }
+  const double ahead = static_cast<double>(WaitingAhead(aOperation, aGroup)) + 1;
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(ahead / perSecond));
+}
+
+void
+ProxyCore::RefuseHopeless(OperationKey aKey, Group& aGroup, TimePoint aNow)
+{
+  const auto found = mOperations.find(aKey);
+  if (found == mOperations.end() || found->second.mStage != OperationStage::Waiting) {
+    return;
+  }
+  const auto wait = PredictedWait(found->second, aGroup, aNow);
+  if (wait && aNow + *wait > ObjectiveLimit(found->second)) {
+    FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
+  }
+}
+
+std::optional<LogPosition>
+ProxyCore::RequiredPosition(const Operation& aOperation,
+                            const Group& aGroup,
+                            TimePoint aNow,
+                            bool& aIsProven) const
+{
+  const std::optional<LogPosition> proof =
+    aGroup.mSamples.ProofOf(aNow - aOperation.mRoute.mMaxStaleness);
+  aIsProven = proof.has_value();
+  if (!proof || aOperation.mRoute.mConsistency != Consistency::ReadYourWrites) {
+    return proof;
+  }
+  const Session& session = mSessions.at(aOperation.mSession);
+  if (!session.mLastCommit) {
+    return proof;
+  }
+  // A commit of an older term is either below the first position of the newer one, or was
+  // rolled back by the promotion.
+  const std::optional<LogPosition> newerTerm =
+    aGroup.mSamples.FirstAfterTerm(session.mLastCommit->mTerm);
+  return std::max(*proof, newerTerm.value_or(*session.mLastCommit));
+}
+
+std::vector<Member*>
+ProxyCore::ReadCandidates(const Operation& aOperation,
+                          const Group& aGroup,
+                          TimePoint aNow)
+{
+  const Member* primary = PrimaryMember(aGroup, aNow);
+  std::vector<std::pair<Duration, Member*>> ranked;
+  for (const std::string& id : aGroup.mMembers) {
+    Member& member = mMembers.find(id)->second;
+    if (!IsUsable(member) || member.mEntry.mDraining || member.mUnreachableSince ||
+        member.mLaggingUntil > aNow || aOperation.mRefusedBy.contains(id)) {
+      continue;
+    }
+    Duration cost = member.mServiceTime * (member.mInFlight + 1) / member.mWindow.Limit();
+    if (member.mEntry.mZone != mSettings.mZone) {
+      cost += kZonePenalty;
+    }
+    if (&member == primary) {
+      cost += kPrimaryPenalty;
+    }
+    ranked.emplace_back(cost, &member);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<Member*> candidates;
+  for (const auto& [cost, member] : ranked) {
+    candidates.push_back(member);
+  }
+  return candidates;
+}
+
+bool
+ProxyCore::NeedsConnection(const Member& aMember)
+{
+  return aMember.mIdle.empty() &&
+         aMember.mInFlight + aMember.mOpening < aMember.mWindow.Limit();
+}
+
+void
+ProxyCore::OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow)
+{
+  if (aNow >= WaitLimit(aOperation)) {
+    FailOperation(aKey, AnswerCode::Busy, "no member could run it in time", aNow);
+    return;
+  }
+  if (aOperation.mConnection) {
+    if (aOperation.mRetryAt <= aNow) {
+      ScheduleOperation(aKey, aOperation.mDeadline);
+      SendStatement(aOperation, std::nullopt, false, aNow);
+    }
+    return;
+  }
+  Group& group = mGroups[aOperation.mGroup];
+  const TimePoint objective = ObjectiveLimit(aOperation);
+  if (!aOperation.mIsLate && aNow >= objective) {
+    aOperation.mIsLate = true;
+    // Where others still can be answered in time, there is no room for late ones.
+    if (WaitingAhead(aOperation, group) > 0 && PredictedWait(aOperation, group, aNow)) {
+      FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
+      return;
+    }
+  }
+  ScheduleOperation(aKey,
+                    aOperation.mIsLate ? WaitLimit(aOperation)
+                                       : std::min(objective, WaitLimit(aOperation)));
+  if (aOperation.mRetryAt <= aNow) {
+    Dispatch(group, aNow);
+  }
+}
+
+} // namespace papayaspindle::proxy
--- /dev/null
+++ b/src/libs/proxy/proxycore_errors.cpp
@@ -0,0 +1,197 @@
+#include "proxy/proxycore.h"
+
+#include "proxy/answerpolicy.h"
+#include "proxy/proxytimes.h"
+
+#include <algorithm>
+
+namespace papayaspindle::proxy {
+
+void
+ProxyCore::NoteRefusal(Operation& aOperation, AnswerCode aCode, TimePoint aNow)
+{
+  Member& member = mMembers.find(aOperation.mMember)->second;
+  mHooks.mLog(LogLevel::Info,
+              "member_refused",
+              { { "id", aOperation.mStatement.mId },
+                { "member", aOperation.mMember },
+                { "code", std::string(AnswerName(aCode)) },
+                { "attempt", std::to_string(aOperation.mAttempts) } });
+  aOperation.mRefusedBy.insert(aOperation.mMember);
+  if (aCode == AnswerCode::Busy) {
+    member.mWindow.OnOverload(aNow);
+  }
+  if (aCode == AnswerCode::Lagging) {
+    member.mLagBackoff =
+      std::clamp(member.mLagBackoff * 2, kLagBackoffFirst, kLagBackoffMost);
+    const Session* session = nullptr;
+    const auto found = mSessions.find(aOperation.mSession);
+    if (found != mSessions.end()) {
+      session = &found->second;
+    }
+    // Lacking the session's own last commit says nothing about other sessions' reads.
+    const bool isOwnCommit =
+      session != nullptr && session->mLastCommit &&
+      aOperation.mRoute.mConsistency == Consistency::ReadYourWrites;
+    if (!isOwnCommit) {
+      member.mLaggingUntil = aNow + member.mLagBackoff;
+    }
+  }
+}
+
+void
+ProxyCore::OnSingleError(OperationKey aKey,
+                         Operation& aOperation,
+                         const MemberReply& aReply,
+                         TimePoint aNow)
+{
+  const ConnectionKey connectionKey = *aOperation.mConnection;
+  PoolConnection& connection = mConnections.at(connectionKey);
+  const AnswerCode code = *aReply.mError;
+  const bool isEnding = aOperation.mIsWrapped;
+  connection.mOperation.reset();
+  aOperation.mConnection.reset();
+  const AnswerStep step = StepAfter(
+    code, aOperation.mWrites ? StatementEffect::Writes : StatementEffect::Reads);
+  const bool retries =
+    step == AnswerStep::RetryElsewhere && mSessions.contains(aOperation.mSession) &&
+    (code != AnswerCode::Failed || aOperation.mAttempts < kReadAttempts);
+  if (retries) {
+    NoteRefusal(aOperation, code, aNow);
+  } else {
+    ClientAnswer answer;
+    answer.mError = code;
+    answer.mText = aReply.mText;
+    FinishOperation(aKey, std::move(answer), aNow);
+  }
+  if (isEnding) {
+    connection.mState = ConnectionState::Internal;
+  } else if (code == AnswerCode::UnknownPrepared) {
+    Discard(connectionKey, aNow);
+  } else {
+    Release(connectionKey, aReply.mState != TransactionState::Idle, aNow);
+  }
+  if (retries && mOperations.contains(aKey)) {
+    Requeue(aKey, aOperation, RetryPause(code), aNow);
+  }
+}
+
+void
+ProxyCore::OnTransactionError(OperationKey aKey,
+                              Operation& aOperation,
+                              const MemberReply& aReply,
+                              TimePoint aNow)
+{
+  const ConnectionKey connectionKey = *aOperation.mConnection;
+  PoolConnection& connection = mConnections.at(connectionKey);
+  const AnswerCode code = *aReply.mError;
+  const bool notRun = HasNotRun(code);
+  const bool isCommit = aOperation.mStatement.mKind == StatementKind::Commit;
+  if (code == AnswerCode::Busy && aReply.mState == TransactionState::Open &&
+      aNow + kRetryPause < WaitLimit(aOperation)) {
+    // Stays on its connection; sent again after the pause.
+    aOperation.mStage = OperationStage::Waiting;
+    aOperation.mRetryAt = aNow + kRetryPause;
+    ScheduleOperation(aKey, aOperation.mRetryAt);
+    return;
+  }
+  connection.mOperation.reset();
+  connection.mTransactionOf.reset();
+  aOperation.mConnection.reset();
+  const auto session = mSessions.find(aOperation.mSession);
+  if (session != mSessions.end() && session->second.mTransaction) {
+    session->second.mTransaction->mConnection.reset();
+  }
+  if (aOperation.mPurpose == OperationPurpose::TransactionFirst && notRun &&
+      session != mSessions.end()) {
+    NoteRefusal(aOperation, code, aNow);
+    session->second.mTransaction->mWrote = false;
+    Release(connectionKey, true, aNow);
+    Requeue(aKey, aOperation, RetryPause(code), aNow);
+    return;
+  }
+  const bool mayHaveCommitted = isCommit && !notRun && session != mSessions.end() &&
+                                session->second.mTransaction &&
+                                session->second.mTransaction->mWrote;
+  if (mayHaveCommitted) {
+    FailOperation(aKey,
+                  code == AnswerCode::Failed ? AnswerCode::Failed : AnswerCode::Unknown,
+                  aReply.mText,
+                  aNow);
+  } else {
+    FailOperation(aKey, AnswerCode::Aborted, AnswerName(code), aNow);
+  }
+  if (mConnections.contains(connectionKey)) {
+    Release(connectionKey, aReply.mState != TransactionState::Idle, aNow);
+  }
+}
+
+void
+ProxyCore::LoseOperation(OperationKey aKey, std::string_view aWhy, TimePoint aNow)
+{
+  Operation& operation = mOperations.at(aKey);
+  if (operation.mConnection) {
+    const auto connection = mConnections.find(*operation.mConnection);
+    if (connection != mConnections.end()) {
+      connection->second.mOperation.reset();
+      connection->second.mTransactionOf.reset();
+    }
+    operation.mConnection.reset();
+  }
+  const auto session = mSessions.find(operation.mSession);
+  if (session == mSessions.end()) {
+    RemoveOperation(aKey);
+    return;
+  }
+  mHooks.mLog(LogLevel::Info,
+              "answer_lost",
+              { { "id", operation.mStatement.mId },
+                { "member", operation.mMember },
+                { "attempt", std::to_string(operation.mAttempts) },
+                { "reason", std::string(aWhy) } });
+  const bool wasSent = operation.mStage == OperationStage::Running;
+  const bool inTransaction = InTransaction(operation);
+  std::optional<ClientTransaction>& transaction = session->second.mTransaction;
+  if (transaction) {
+    transaction->mConnection.reset();
+  }
+  const bool isFirstRead = operation.mPurpose == OperationPurpose::TransactionFirst &&
+                           !operation.mWrites &&
+                           operation.mStatement.mKind != StatementKind::Commit;
+  const bool mayRepeat =
+    !wasSent || (!inTransaction && !operation.mWrites) || isFirstRead;
+  if (mayRepeat && operation.mPurpose != OperationPurpose::TransactionNext &&
+      operation.mAttempts < kReadAttempts && aNow < WaitLimit(operation)) {
+    if (transaction) {
+      transaction->mWrote = false;
+    }
+    operation.mRefusedBy.insert(operation.mMember);
+    Requeue(aKey, operation, Duration::zero(), aNow);
+    return;
+  }
+  if (inTransaction) {
+    const bool mayHaveCommitted = wasSent && transaction && transaction->mWrote &&
+                                  operation.mStatement.mKind == StatementKind::Commit;
+    FailOperation(
+      aKey, mayHaveCommitted ? AnswerCode::Unknown : AnswerCode::Aborted, aWhy, aNow);
+  } else if (operation.mWrites && wasSent) {
+    FailOperation(aKey, AnswerCode::Unknown, aWhy, aNow);
+  } else {
+    FailOperation(aKey, wasSent ? AnswerCode::Timeout : AnswerCode::Busy, aWhy, aNow);
+  }
+}
+
+void
+ProxyCore::LoseSession(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow)
+{
+  const auto found = mConnections.find(aKey);
+  mHooks.mLog(LogLevel::Warning,
+              "connection_out_of_step",
+              { { "member", found->second.mMember }, { "reason", std::string(aWhy) } });
+  if (found->second.mOperation) {
+    LoseOperation(*found->second.mOperation, aWhy, aNow);
+  }
+  Discard(aKey, aNow);
+}
+
+} // namespace papayaspindle::proxy
