Log each routing decision; test that the log explains a failed request

Cause: the log named requests only when they failed, so that a complaint about an answer could not be traced to the member and the proof behind it. Change: statement_routed with id, member, wait, proof, sample age, window and version; a test explains a refused, a timed out and an unknown request from the log alone.

--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -167,6 +167,10 @@
               ConnectionKey aConnection,
               const std::optional<LogPosition>& aAfter,
               TimePoint aNow);
+  /** Records which member gets a statement, and why. */
+  void LogRouting(const Operation& aOperation,
+                  const std::optional<LogPosition>& aAfter,
+                  TimePoint aNow);
   void SendStatement(Operation& aOperation,
                      const std::optional<LogPosition>& aAfter,
                      bool aWithRollback,
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -178,6 +178,7 @@
   aOperation.mAttempts++;
   aOperation.mSentAt = aNow;
   ScheduleOperation(aKey, aOperation.mDeadline);
+  LogRouting(aOperation, aAfter, aNow);
   const bool needsBegin =
     aOperation.mPurpose == OperationPurpose::TransactionFirst || aOperation.mIsWrapped;
   if (!needsBegin) {
@@ -197,6 +198,29 @@
   Send(aConnection, connection, commands, aNow);
 }
 
+void
+ProxyCore::LogRouting(const Operation& aOperation,
+                      const std::optional<LogPosition>& aAfter,
+                      TimePoint aNow)
+{
+  const Member& member = mMembers.find(aOperation.mMember)->second;
+  const auto sampled = mGroups[aOperation.mGroup].mSamples.NewestAt();
+  mHooks.mLog(LogLevel::Info,
+              "statement_routed",
+              { { "id", aOperation.mStatement.mId },
+                { "member", aOperation.mMember },
+                { "attempt", std::to_string(aOperation.mAttempts) },
+                { "waited_ms", MillisecondText(aNow - aOperation.mArrivedAt) },
+                { "proof",
+                  aAfter                  ? ToString(*aAfter)
+                  : aOperation.mIsWrapped ? "lead"
+                                          : "none" },
+                { "sample_age_ms", sampled ? MillisecondText(aNow - *sampled) : "none" },
+                { "in_flight", std::to_string(member.mInFlight) },
+                { "window", std::to_string(member.mWindow.Limit()) },
+                { "version", std::to_string(mConfiguration.mVersion) } });
+}
+
 void
 ProxyCore::SendStatement(Operation& aOperation,
                          const std::optional<LogPosition>& aAfter,
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -186,6 +186,18 @@
     return found == mAnswers.end() ? 0 : found->second.size();
   }
 
+  /** @return log lines that name the statement, which is the number-th that was said */
+  std::vector<std::string> LinesOf(std::uint64_t aNumber) const
+  {
+    std::vector<std::string> lines;
+    for (const std::string& line : mLog) {
+      if (line.find(" id=id" + std::to_string(aNumber) + " ") != std::string::npos) {
+        lines.push_back(line);
+      }
+    }
+    return lines;
+  }
+
   /** Answers samples of the primary's position that the core has asked for. */
   void AnswerSamples(LogPosition aPosition)
   {
@@ -220,6 +232,7 @@
   std::vector<SessionKey> mClosedSessions;
   std::vector<std::pair<OperationKey, ForwardedStatement>> mForwarded;
   bool mIsHome = true;
+  std::vector<std::string> mLog;
 
 private:
   ProxyHooks Hooks()
@@ -260,7 +273,14 @@
     };
     hooks.mCancelForward = [](OperationKey) {};
     hooks.mForwardEnd = [](const std::string&, SessionKey) {};
-    hooks.mLog = [](LogLevel, std::string_view, std::initializer_list<LogField>) {};
+    hooks.mLog =
+      [this](LogLevel, std::string_view aEvent, std::initializer_list<LogField> aFields) {
+        std::string line(aEvent);
+        for (const LogField& field : aFields) {
+          line += " " + std::string(field.mKey) + "=" + field.mValue;
+        }
+        mLog.push_back(std::move(line));
+      };
     hooks.mCount = [](std::string_view) {};
     hooks.mObserve = [](std::string_view, Duration) {};
     return hooks;
--- a/tests/auto/proxy/tst_proxyanswers.cpp
+++ b/tests/auto/proxy/tst_proxyanswers.cpp
@@ -136,6 +136,54 @@
   REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::Aborted);
 }
 
+// The log alone must tell where a request went and what ended it.
+TEST_CASE("refused, timed out and unknown requests are explained by the log")
+{
+  CoreFixture fixture;
+  SECTION("refused on arrival")
+  {
+    for (SessionKey session = 1; session <= 60; session++) {
+      fixture.Start(session, "main");
+      fixture.Say(session, StatementKind::Write, "item data");
+    }
+    REQUIRE(fixture.LastAnswer(60).mError == AnswerCode::Busy);
+    const auto lines = fixture.LinesOf(60);
+    REQUIRE(lines.size() == 1);
+    REQUIRE(lines[0].starts_with("statement_failed"));
+    REQUIRE(lines[0].find("attempts=0") != std::string::npos);
+    REQUIRE(lines[0].find("outcome=overloaded") != std::string::npos);
+  }
+  SECTION("timed out")
+  {
+    fixture.SampleByWrite({ 1, 10 });
+    fixture.Start(1, "views");
+    fixture.Say(1, StatementKind::Read, "item");
+    // Every member that is asked stays silent.
+    for (int step = 0; step < 20; step++) {
+      fixture.Advance(50ms);
+    }
+    REQUIRE(fixture.LastAnswer(1).mError);
+    const auto lines = fixture.LinesOf(2);
+    REQUIRE(lines.front().starts_with("statement_routed"));
+    REQUIRE(lines.front().find("proof=1/10") != std::string::npos);
+    REQUIRE(lines[1].starts_with("answer_lost"));
+    REQUIRE(lines.back().starts_with("statement_failed"));
+  }
+  SECTION("unknown")
+  {
+    fixture.Start(1, "main");
+    fixture.Say(1, StatementKind::Write, "item data");
+    fixture.mCore.OnConnectionFailed(fixture.Last(CommandKind::Write).mConnection,
+                                     fixture.mNow);
+    REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::Unknown);
+    const auto lines = fixture.LinesOf(1);
+    REQUIRE(lines.size() == 3);
+    REQUIRE(lines[0].find("member=p") != std::string::npos);
+    REQUIRE(lines[1].find("reason=connection lost") != std::string::npos);
+    REQUIRE(lines[2].starts_with("statement_failed"));
+  }
+}
+
 TEST_CASE("a client that leaves during its write doesn't break the connection's state")
 {
   CoreFixture fixture;
