Name the end of a left operation and of a mismatched connection

Cause: read as a newcomer: a nested if-else with a comment between, a parameter that nothing used, and LoseSession, which gave up a connection. Change: AbandonOperation, AbandonConnection, Discard without a time. No behaviour changes; the tests of the module pass.

--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -119,6 +119,8 @@
   };
 
   // proxycore_sessions.cpp
+  /** Ends the operation of a session whose client has left. */
+  void AbandonOperation(OperationKey aKey, Session& aSession);
   void Handle(SessionKey aKey, Session& aSession, Statement aStatement, TimePoint aNow);
   void HandleLocal(SessionKey aKey, Session& aSession, const Statement& aStatement);
   void HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite);
@@ -243,7 +245,8 @@
                      TimePoint aNow);
   void NoteRefusal(Operation& aOperation, AnswerCode aCode, TimePoint aNow);
   void LoseOperation(OperationKey aKey, std::string_view aWhy, TimePoint aNow);
-  void LoseSession(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow);
+  /** Gives up a connection whose answers no longer match what was sent. */
+  void AbandonConnection(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow);
 
   // proxycore_connections.cpp
   /** @return connections to a member that this instance may always hold */
@@ -256,7 +259,8 @@
             TimePoint aNow);
   /** Returns the connection to its pool, after a rollback if it is in a transaction. */
   void Release(ConnectionKey aKey, bool aNeedsRollback, TimePoint aNow);
-  void Discard(ConnectionKey aKey, TimePoint aNow);
+  /** Closes and forgets a connection. */
+  void Discard(ConnectionKey aKey);
   void MakeIdle(ConnectionKey aKey, PoolConnection& aConnection, TimePoint aNow);
   std::vector<MemberCommand> Prelude(const Session& aSession,
                                      PoolConnection& aConnection,
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -111,7 +111,7 @@
     // The instance is entitled to it: whoever borrowed it gives it back soon.
     member.mOpenAfter = aNow + kOpenBackoffFirst;
   }
-  Discard(aConnection, aNow);
+  Discard(aConnection);
 }
 
 void
@@ -145,7 +145,7 @@
     }
   }
   const bool wasOpening = connection.mState == ConnectionState::Opening;
-  Discard(aConnection, aNow);
+  Discard(aConnection);
   // A lost connection may be the first sign of a dead member.
   const Group* group = FindGroup(member.mEntry.mGroup);
   if (!wasOpening && group != nullptr && member.mOpening == 0 &&
@@ -178,7 +178,7 @@
   connection.mOperation.reset();
   connection.mTransactionOf.reset();
   if (!connection.mOutstanding.empty()) {
-    Discard(aKey, aNow);
+    Discard(aKey);
     return;
   }
   if (!aNeedsRollback) {
@@ -191,7 +191,7 @@
 }
 
 void
-ProxyCore::Discard(ConnectionKey aKey, TimePoint aNow)
+ProxyCore::Discard(ConnectionKey aKey)
 {
   const auto found = mConnections.find(aKey);
   if (found == mConnections.end()) {
@@ -212,7 +212,6 @@
     }
   }
   mHooks.mCloseConnection(aKey);
-  (void)aNow;
 }
 
 void
@@ -220,7 +219,7 @@
 {
   Member& member = mMembers.find(aConnection.mMember)->second;
   if (!member.mIsListed || member.mIsMisrouted) {
-    Discard(aKey, aNow);
+    Discard(aKey);
     return;
   }
   aConnection.mState = ConnectionState::Idle;
--- a/src/libs/proxy/proxycore_errors.cpp
+++ b/src/libs/proxy/proxycore_errors.cpp
@@ -67,7 +67,7 @@
   if (isEnding) {
     connection.mState = ConnectionState::Internal;
   } else if (code == AnswerCode::UnknownPrepared) {
-    Discard(connectionKey, aNow);
+    Discard(connectionKey);
   } else {
     Release(connectionKey, aReply.mState != TransactionState::Idle, aNow);
   }
@@ -182,7 +182,7 @@
 }
 
 void
-ProxyCore::LoseSession(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow)
+ProxyCore::AbandonConnection(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow)
 {
   const auto found = mConnections.find(aKey);
   mHooks.mLog(LogLevel::Warning,
@@ -191,7 +191,7 @@
   if (found->second.mOperation) {
     LoseOperation(*found->second.mOperation, aWhy, aNow);
   }
-  Discard(aKey, aNow);
+  Discard(aKey);
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore_maintenance.cpp
+++ b/src/libs/proxy/proxycore_maintenance.cpp
@@ -34,7 +34,7 @@
     }
   }
   for (const ConnectionKey key : surplus) {
-    Discard(key, aNow);
+    Discard(key);
   }
   std::erase_if(mMembers, [&](auto& aEntry) {
     const bool isForgotten = !aEntry.second.mIsListed && aEntry.second.mConnections == 0;
@@ -92,7 +92,7 @@
     }
     if (found->second.mOperation) {
       LoseOperation(*found->second.mOperation, why, aNow);
-      Discard(key, aNow);
+      Discard(key);
     } else {
       OnConnectionFailed(key, aNow);
     }
@@ -157,7 +157,7 @@
     if (aNow >= query.mDeadline) {
       if (query.mConnection) {
         // Discarding the connection finishes the query.
-        Discard(*query.mConnection, aNow);
+        Discard(*query.mConnection);
       } else {
         FinishStatusQuery(index, std::nullopt);
       }
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -330,7 +330,7 @@
   }
   const ConnectionKey connection = *operation.mConnection;
   LoseOperation(aKey, "no answer before the timeout", aNow);
-  Discard(connection, aNow);
+  Discard(connection);
 }
 
 void
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -34,7 +34,7 @@
     case CommandKind::Reset:
       // The statement behind it must not run with other values.
       if (aReply.mError || aReply.mText != kUnsigned) {
-        LoseSession(aConnection, "session values could not be set", aNow);
+        AbandonConnection(aConnection, "session values could not be set", aNow);
       }
       return;
     case CommandKind::Begin:
@@ -48,7 +48,7 @@
       if (aReply.mState == TransactionState::Idle) {
         MakeIdle(aConnection, connection, aNow);
       } else {
-        Discard(aConnection, aNow);
+        Discard(aConnection);
       }
       return;
     case CommandKind::Status:
@@ -185,7 +185,7 @@
   Member& member = mMembers.find(connection.mMember)->second;
   if (!aReply.mError) {
     if (aReply.mText == kUnsigned) {
-      LoseSession(aKey, "answer without a signature", aNow);
+      AbandonConnection(aKey, "answer without a signature", aNow);
       return;
     }
     const Duration took = aNow - aCommand.mSentAt;
--- a/src/libs/proxy/proxycore_sessions.cpp
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -61,29 +61,36 @@
   }
   Session& session = found->second;
   if (session.mOperation) {
-    const OperationKey key = *session.mOperation;
-    const Operation& operation = mOperations.at(key);
-    if (operation.mStage == OperationStage::Forwarded) {
-      mHooks.mCancelForward(key);
-      RemoveOperation(key);
-    } else
-      // A statement under way keeps its connection until the answer; nobody waits for it.
-      if (operation.mStage == OperationStage::Waiting || session.mTransaction ||
-          operation.mIsWrapped) {
-        const std::optional<ConnectionKey> connection = operation.mConnection;
-        RemoveOperation(key);
-        if (connection) {
-          Discard(*connection, aNow);
-          if (session.mTransaction) {
-            session.mTransaction->mConnection.reset();
-          }
-        }
-      }
+    AbandonOperation(*session.mOperation, session);
   }
   ReleaseTransaction(aSession, session, aNow);
   mSessions.erase(found);
 }
 
+void
+ProxyCore::AbandonOperation(OperationKey aKey, Session& aSession)
+{
+  const Operation& operation = mOperations.at(aKey);
+  if (operation.mStage == OperationStage::Forwarded) {
+    mHooks.mCancelForward(aKey);
+    RemoveOperation(aKey);
+    return;
+  }
+  const bool isUnderWay = operation.mStage != OperationStage::Waiting;
+  if (isUnderWay && !aSession.mTransaction && !operation.mIsWrapped) {
+    // It keeps its connection until the answer, which nobody waits for.
+    return;
+  }
+  const std::optional<ConnectionKey> connection = operation.mConnection;
+  RemoveOperation(aKey);
+  if (connection) {
+    Discard(*connection);
+    if (aSession.mTransaction) {
+      aSession.mTransaction->mConnection.reset();
+    }
+  }
+}
+
 void
 ProxyCore::Handle(SessionKey aKey,
                   Session& aSession,
