--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -163,7 +163,6 @@
                Member& aMember,
                const std::optional<LogPosition>& aAfter,
                TimePoint aNow);
-  void SearchLeader(Group& aGroup, TimePoint aNow);
   void Launch(OperationKey aKey,
               Operation& aOperation,
               ConnectionKey aConnection,
@@ -272,6 +271,8 @@
   void MaintainPools(TimePoint aNow);
   void CheckSilentConnections(TimePoint aNow);
   void Sample(Member& aMember, ConnectionKey aConnection, TimePoint aNow);
+  /** Asks all members of a group for a sample; the one that leads gives it. */
+  void SearchLeader(Group& aGroup, TimePoint aNow);
   void MaintainSamples(TimePoint aNow);
   void RunStatusQueries(TimePoint aNow);
   void FinishStatusQuery(std::size_t aIndex, const std::optional<MemberReply>& aReply);
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -124,28 +124,6 @@
   return false;
 }
 
-void
-ProxyCore::SearchLeader(Group& aGroup, TimePoint aNow)
-{
-  if (aNow - aGroup.mLastLeaderSearch < kLeaderSearchInterval) {
-    return;
-  }
-  aGroup.mLastLeaderSearch = aNow;
-  for (const std::string& id : aGroup.mMembers) {
-    Member& member = mMembers.find(id)->second;
-    if (!IsUsable(member) || member.mEntry.mDraining) {
-      continue;
-    }
-    if (!member.mIdle.empty()) {
-      const ConnectionKey key = member.mIdle.back();
-      member.mIdle.pop_back();
-      Sample(member, key, aNow);
-    } else if (member.mOpening == 0 && MayOpen(member, aGroup, aNow)) {
-      Open(member, aNow);
-    }
-  }
-}
-
 bool
 ProxyCore::UseIdle(OperationKey aKey,
                    Operation& aOperation,
