Evacuate an instance that is partitioned from most zones

Cause: while a zone is cut off, its clients stay with instances that reach one member of each group. Writes to primaries elsewhere and reads past the staleness bound fail until the cut ends.

--- a/src/libs/forwarding/forwardclient.cpp
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -48,6 +48,7 @@
     const auto connected = mLinks.find(aInstance);
     if (connected != mLinks.end()) {
       connected->second.mIsConnected = true;
+      mHooks.mHeard(aInstance);
     }
   };
   hooks.mInput = [this, aInstance](StreamKey, std::string& aInput) {
@@ -76,6 +77,16 @@
   link->mPending.emplace(stream, aOperation);
 }
 
+void
+ForwardClient::Ping(const std::string& aInstance, TimePoint aNow)
+{
+  Link* link = Connect(aInstance, aNow);
+  // A connection that is being opened answers by being accepted.
+  if (link != nullptr && link->mIsConnected) {
+    link->mSession->SubmitPing();
+  }
+}
+
 void
 ForwardClient::Cancel(proxy::OperationKey aOperation)
 {
@@ -132,6 +143,7 @@
   if (found == mLinks.end()) {
     return;
   }
+  mHooks.mHeard(aInstance);
   const std::string bytes = std::exchange(aInput, {});
   if (!found->second.mSession->Receive(bytes)) {
     mStreams.Close(found->second.mStream);
@@ -151,6 +163,7 @@
   for (const auto& [stream, operation] : link.mPending) {
     mHooks.mFailed(operation, link.mIsConnected, aInstance);
   }
+  mHooks.mLost(aInstance);
 }
 
 void
--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -22,6 +22,10 @@
   /** @param aWasSent whether the home may have the statement */
   std::function<void(proxy::OperationKey, bool aWasSent, const std::string& aInstance)>
     mFailed;
+  /** An instance has sent something or accepted the connection. */
+  std::function<void(const std::string& aInstance)> mHeard;
+  /** The connection to an instance has ended or could not be opened. */
+  std::function<void(const std::string& aInstance)> mLost;
 };
 
 /** Sends statements to homes: one HTTP/2 connection for each home, one stream for each
@@ -37,6 +41,8 @@
                TimePoint aNow);
   /** Gives a statement up; no hook is called for it. */
   void Cancel(proxy::OperationKey aOperation);
+  /** Asks an instance for a sign of life. */
+  void Ping(const std::string& aInstance, TimePoint aNow);
   /** Ends a session's transaction at a home. */
   void EndSession(const std::string& aInstance, proxy::SessionKey aSession);
   /** Hands what is queued to the streams; called once for each turn of the loop. */
--- a/src/libs/proxy/hometable.cpp
+++ b/src/libs/proxy/hometable.cpp
@@ -91,6 +91,14 @@
   });
 }
 
+bool
+HomeTable::IsHomeOfAll(std::span<const std::string> aGroups) const
+{
+  return std::all_of(aGroups.begin(), aGroups.end(), [&](const std::string& aGroup) {
+    return IsHome(aGroup);
+  });
+}
+
 std::optional<std::string>
 HomeTable::PickHome(std::string_view aGroup,
                     const std::set<std::string>& aExcluded,
--- a/src/libs/proxy/hometable.h
+++ b/src/libs/proxy/hometable.h
@@ -64,6 +64,8 @@
   void Avoid(const std::string& aInstance, TimePoint aNow);
   /** Takes an answer of a home. */
   void OnAnswer(const std::string& aInstance);
+  /** @return whether this instance is a home of each of the groups */
+  [[nodiscard]] bool IsHomeOfAll(std::span<const std::string> aGroups) const;
   /** @return whether this instance is a home of any of the groups */
   [[nodiscard]] bool IsHomeOfAny(std::span<const std::string> aGroups) const;
 
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -146,6 +146,30 @@
               { { "sessions", std::to_string(mSessions.size()) } });
 }
 
+void
+ProxyCore::SetCutOff(bool aIsCutOff, TimePoint aNow)
+{
+  if (aIsCutOff == mCutOffSince.has_value()) {
+    return;
+  }
+  mCutOffSince = aIsCutOff ? std::optional(aNow) : std::nullopt;
+  mHooks.mLog(LogLevel::Warning,
+              aIsCutOff ? "evacuation_started" : "evacuation_ended",
+              { { "sessions", std::to_string(mSessions.size()) } });
+}
+
+TimePoint
+ProxyCore::MemberHeardAt(std::string_view aZone) const
+{
+  TimePoint heardAt;
+  for (const auto& [id, member] : mMembers) {
+    if (member.mEntry.mZone == aZone) {
+      heardAt = std::max(heardAt, member.mLastReply);
+    }
+  }
+  return heardAt;
+}
+
 TimePoint
 ProxyCore::NextTimer() const
 {
@@ -189,12 +213,12 @@
     if (rests && aNow - session.mLastActivity > mConfiguration.mTransactionIdle) {
       AbortTransaction(key, session, "transaction idle too long", aNow);
     }
-    if (mDrainStart) {
+    if (mDrainStart || mCutOffSince) {
       idle.push_back(key);
     }
   }
   for (const SessionKey key : idle) {
-    CloseWhenDraining(key, aNow);
+    CloseIfLeft(key, aNow);
   }
 }
 
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -75,6 +75,11 @@
   void OnHomesChanged(TimePoint aNow);
   /** Takes reloaded settings. */
   void OnSettings(const ProxySettings& aSettings) { mSettings = aSettings; }
+  /**
+   * Takes whether this instance is partitioned from most zones. While it is, sessions at
+   * rest are closed once the balancer sends their clients elsewhere.
+   */
+  void SetCutOff(bool aIsCutOff, TimePoint aNow);
   /** Stops in the order that the grace allows. */
   void StartDrain(TimePoint aNow);
   void OnTimer(TimePoint aNow);
@@ -89,6 +94,8 @@
   [[nodiscard]] PrimaryHealth PrimaryOf(std::string_view aGroup, TimePoint aNow) const;
   /** @return listed members of the group that are no primary */
   [[nodiscard]] std::vector<MemberEntry> ReplicasOf(std::string_view aGroup) const;
+  /** @return when a member of a zone last answered */
+  [[nodiscard]] TimePoint MemberHeardAt(std::string_view aZone) const;
   /** @return newest term seen in the group's positions */
   [[nodiscard]] std::uint64_t NewestTerm(std::string_view aGroup) const;
 
@@ -138,7 +145,8 @@
                    std::string_view aText);
   void AnswerDone(SessionKey aKey, Session& aSession);
   void RunBacklog(SessionKey aKey, TimePoint aNow);
-  void CloseWhenDraining(SessionKey aKey, TimePoint aNow);
+  /** Closes a session that a stop or a partition no longer lets this instance serve. */
+  void CloseIfLeft(SessionKey aKey, TimePoint aNow);
   /** Ends the session's hold on its transaction's connection. */
   void ReleaseTransaction(SessionKey aKey, Session& aSession, TimePoint aNow);
   void AbortTransaction(SessionKey aKey,
@@ -307,6 +315,7 @@
   ConnectionKey mNextConnection = 1;
   TimePoint mNextMaintenance;
   std::optional<TimePoint> mDrainStart;
+  std::optional<TimePoint> mCutOffSince;
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore_sessions.cpp
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -11,6 +11,7 @@
 {
   Session session;
   session.mDatabase = aDatabase;
+  session.mOpenedAt = aNow;
   session.mLastActivity = aNow;
   if (!mConfiguration.mRoutes.contains(session.mDatabase)) {
     ClientAnswer refusal;
@@ -49,7 +50,7 @@
     return;
   }
   Handle(aSession, session, std::move(aStatement), aNow);
-  CloseWhenDraining(aSession, aNow);
+  CloseIfLeft(aSession, aNow);
 }
 
 void
@@ -323,22 +324,33 @@
     Handle(aKey, found->second, std::move(next), aNow);
     found = mSessions.find(aKey);
   }
-  CloseWhenDraining(aKey, aNow);
+  CloseIfLeft(aKey, aNow);
 }
 
 void
-ProxyCore::CloseWhenDraining(SessionKey aKey, TimePoint aNow)
+ProxyCore::CloseIfLeft(SessionKey aKey, TimePoint aNow)
 {
   const auto found = mSessions.find(aKey);
-  if (!mDrainStart || found == mSessions.end()) {
+  if ((!mDrainStart && !mCutOffSince) || found == mSessions.end()) {
     return;
   }
-  const Duration passed = aNow - *mDrainStart;
   const Session& session = found->second;
   const bool isAtRest = session.mState == TransactionState::Idle && !session.mOperation;
+  // Clients that came back after the notice find no better instance.
+  const bool isCutOff = mCutOffSince && aNow - *mCutOffSince >= kReadinessNotice &&
+                        session.mOpenedAt < *mCutOffSince + kReadinessNotice;
+  if (isCutOff && isAtRest && !session.mIsForwarded) {
+    mHooks.mCloseSession(aKey);
+    OnSessionClosed(aKey, aNow);
+    return;
+  }
+  if (!mDrainStart) {
+    return;
+  }
+  const Duration passed = aNow - *mDrainStart;
   const bool isTransactionAtRest =
     session.mState != TransactionState::Idle && !session.mOperation;
-  const bool mayClose = (isAtRest && passed >= kDrainNotice) ||
+  const bool mayClose = (isAtRest && passed >= kReadinessNotice) ||
                         (isTransactionAtRest && passed >= mSettings.mGrace / 2) ||
                         passed >= mSettings.mGrace - kDrainMargin;
   if (mayClose) {
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -71,8 +71,8 @@
 /** Connections to a leaving member are closed when unused for this long. */
 constexpr Duration kIdleConnection = 3s;
 
-/** After a stop request, clients still arrive until two readiness probes have failed. */
-constexpr Duration kDrainNotice = 2200ms;
+/** Clients still arrive until two readiness probes, one a second, have failed. */
+constexpr Duration kReadinessNotice = 2200ms;
 /** Time before the end of the grace at which every session is closed. */
 constexpr Duration kDrainMargin = 700ms;
 
--- a/src/libs/proxy/session.h
+++ b/src/libs/proxy/session.h
@@ -54,6 +54,7 @@
   std::optional<OperationKey> mOperation;
   /** Statements that arrived while another was running. */
   std::deque<Statement> mBacklog;
+  TimePoint mOpenedAt;
   TimePoint mLastActivity;
   /** Belongs to a client of another instance; lives as long as its transaction. */
   bool mIsForwarded = false;
--- a/tests/auto/proxy/tst_proxysessions.cpp
+++ b/tests/auto/proxy/tst_proxysessions.cpp
@@ -197,3 +197,40 @@
   REQUIRE(fixture.mClosedSessions == std::vector<SessionKey>{ 1, 2 });
   REQUIRE(fixture.mCore.IsDrained());
 }
+
+// Guards against clients that stay with an instance in a partitioned zone: they reach a
+// better one only by opening a new connection.
+TEST_CASE("a cut-off instance closes sessions at rest after the balancer has noticed")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.Start(2, "main");
+  fixture.Say(2, StatementKind::Begin);
+  fixture.mCore.SetCutOff(true, fixture.mNow);
+  fixture.Advance(1s);
+  REQUIRE(fixture.mClosedSessions.empty());
+  for (int turn = 0; turn < 15; turn++) {
+    fixture.Advance(100ms);
+  }
+  // The open transaction is left to its client.
+  REQUIRE(fixture.mClosedSessions == std::vector<SessionKey>{ 1 });
+  fixture.Say(2, StatementKind::Rollback);
+  fixture.Advance(100ms);
+  REQUIRE(fixture.mClosedSessions == std::vector<SessionKey>{ 1, 2 });
+  // A client that comes here all the same finds no better instance.
+  fixture.Start(3, "main");
+  fixture.Advance(100ms);
+  fixture.Advance(5s);
+  REQUIRE(fixture.mClosedSessions.size() == 2);
+}
+
+TEST_CASE("sessions stay open when a partition ends before the balancer has noticed")
+{
+  CoreFixture fixture;
+  fixture.Start(1, "main");
+  fixture.mCore.SetCutOff(true, fixture.mNow);
+  fixture.Advance(1s);
+  fixture.mCore.SetCutOff(false, fixture.mNow);
+  fixture.Advance(5s);
+  REQUIRE(fixture.mClosedSessions.empty());
+}
