--- a/tests/auto/platform/tst_platformdecoding.cpp
+++ b/tests/auto/platform/tst_platformdecoding.cpp
@@ -1,6 +1,8 @@
 // Settings, configuration and member entries, also from other writers.
 
+#include "platform/base64.h"
 #include "platform/entrydecoder.h"
+#include "platform/jsonfields.h"
 #include "platform/settingsfile.h"
 
 #include <catch2/catch.hpp>
@@ -105,3 +107,60 @@
   INFO(from << " -> " << to);
   REQUIRE_FALSE(DecodeMember("i-1", Replaced(kMember, from, to), 1));
 }
+
+// Guards against rows that another writer has damaged, and against padding errors.
+TEST_CASE("base64 is read back, and anything else is refused")
+{
+  for (std::size_t length = 0; length < 8; length++) {
+    std::string bytes(length, '\xfb');
+    bytes += std::string(1, '\0');
+    REQUIRE(DecodeBase64(EncodeBase64(bytes)) == bytes);
+  }
+  REQUIRE(EncodeBase64("node-1") == "bm9kZS0x");
+  for (const auto& text : { "bm9kZS0", "bm9kZS0x!", "bm9*", "====", "b===" }) {
+    CAPTURE(text);
+    REQUIRE_FALSE(DecodeBase64(text));
+  }
+}
+
+// Guards against a configuration that is cut short or mixed up once it has grown.
+TEST_CASE("a configuration of some thousand routes is read in full")
+{
+  constexpr std::size_t kRoutes = 3000;
+  std::string text = R"({"version":9,"routes":[)";
+  for (std::size_t index = 0; index < kRoutes; index++) {
+    text += index == 0 ? "" : ",";
+    text += R"({"host":"db)" + std::to_string(index) +
+            R"(","routeType":"bounded","timeoutMs":)" + std::to_string(100 + index) +
+            R"(,"targetLatencyMs":400,"priority":2,"backend":"g)" +
+            std::to_string(index % 8) + R"(","maxStalenessMs":1500})";
+  }
+  text += R"(],"backends":[{"name":"g0","maxConns":32}],"limits":{"txIdleMs":3000}})";
+  const auto configuration = DecodeConfiguration(text);
+  REQUIRE(configuration);
+  REQUIRE(configuration->mRoutes.size() == kRoutes);
+  REQUIRE(configuration->mRoutes.at("db2999").mStatementTimeout == 3099ms);
+  REQUIRE(configuration->mRoutes.at("db2999").mGroup == "g7");
+  REQUIRE(configuration->mTransactionIdle == 3s);
+}
+
+TEST_CASE("a field of another type counts as missing")
+{
+  const JsonObject object = ParseObject(
+    R"({"a":-1,"b":1.5,"c":true,"d":"7","e":{"f":1},"g":[1,-2,3],"h":[{"i":1},2]})");
+  REQUIRE_FALSE(object.Count("a"));
+  REQUIRE(object.Number("a") == -1.0);
+  REQUIRE_FALSE(object.Count("b"));
+  REQUIRE_FALSE(object.Count("c"));
+  REQUIRE_FALSE(object.Number("c"));
+  REQUIRE(object.Flag("c") == true);
+  REQUIRE_FALSE(object.Count("d"));
+  REQUIRE(object.Object("e").Count("f") == 1);
+  REQUIRE(object.Object("a").IsNull());
+  REQUIRE(object.Counts("g") == std::vector<std::uint64_t>{ 1, 3 });
+  REQUIRE(object.Objects("h").size() == 1);
+  REQUIRE(ParseObject("[1]").IsNull());
+  REQUIRE(ParseObject("{\"a\":1").IsNull());
+  REQUIRE(ParseObject("").IsNull());
+  REQUIRE_FALSE(ParseObject("x").Text("a"));
+}
