Hand the lead over where all replicas lag and the primary is overloaded

Cause: a replica applies its log in order, so one late commit holds back all that follow it.

Change: a home that sees every replica refuse reads for lag while statements are refused for overload claims the leadership row. If a replica has received all of the primary's commits and lags by more than 1.5 s, it is promoted: a primary has applied what it has received, and the old one becomes a fresh replica. Once the platform has accepted the promotion, the old primary is demoted, so it acknowledges nothing that the new one would lack. No other switchover follows within 15 s.

--- a/src/libs/proxy/group.h
+++ b/src/libs/proxy/group.h
@@ -29,6 +29,8 @@
   TimePoint mProvenAt;
   /** Since when the member that calls itself primary refuses to lead. */
   std::optional<TimePoint> mLeaderlessSince;
+  /** When a statement was last refused because too many others wait. */
+  TimePoint mOverloadedAt;
   /** When the instance last looked for a leader among all members. */
   TimePoint mLastLeaderSearch;
   /** When a sample was last asked for. */
--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -44,6 +44,8 @@
   /** Reads that need a position go elsewhere until then. */
   TimePoint mLaggingUntil;
   Duration mLagBackoff{};
+  /** Since when it has lacked positions that other sessions' reads needed. */
+  std::optional<TimePoint> mLaggingSince;
   /** Refused to lead; not asked again before this time. */
   TimePoint mNotLeadingUntil;
   /** When the directory first said that the member leaves. */
--- a/src/libs/proxy/memberstatus.h
+++ b/src/libs/proxy/memberstatus.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/logposition.h"
+#include "core/timetypes.h"
 #include "proxy/memberentry.h"
 
 #include <cstdint>
@@ -14,6 +15,8 @@
   std::uint64_t mTerm = 0;
   /** Newest position that the member has received; it may not have applied it yet. */
   LogPosition mReceived;
+  /** How far what it has applied is behind what it has received. */
+  Duration mLag{};
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/primaryhealth.h
+++ b/src/libs/proxy/primaryhealth.h
@@ -19,6 +19,11 @@
   bool mIsListed = false;
   /** Since when the member can't be reached, or refuses to lead. */
   std::optional<TimePoint> mDownSince;
+  /** No replica has been fresh enough for some time, and the primary can't run all reads.
+   */
+  bool mIsOverloadedByLag = false;
+  /** Newest log position that the member has reported. */
+  std::optional<LogPosition> mPosition;
   /** When the member last answered anything. */
   TimePoint mLastReply;
 };
--- a/src/libs/proxy/promotioncoordinator.cpp
+++ b/src/libs/proxy/promotioncoordinator.cpp
@@ -68,10 +68,16 @@
   const bool isGone = health.mMember.empty() || !health.mIsListed;
   const bool hasReason = isGone || health.mIsDraining || health.mDownSince;
   // Without a member to promote, or before the rows are read, nothing can be done.
-  if (!hasReason || !mHasRows || mHooks.mReplicas(aGroup).empty()) {
+  const bool canPromote = mHasRows && !mHooks.mReplicas(aGroup).empty();
+  if (!hasReason || !canPromote) {
     aRun.mReasonSince.reset();
+    if (canPromote) {
+      WatchLag(aGroup, aRun, health, aNow);
+    }
     return;
   }
+  aRun.mOverloadedSince.reset();
+  aRun.mIsSwitchover = false;
   if (!aRun.mReasonSince) {
     aRun.mReasonSince = aNow;
   }
@@ -82,8 +88,7 @@
   if (leadership != nullptr && aNow - leadership->mSeenAt < kClaimSpacing) {
     return;
   }
-  const Duration spread =
-    std::chrono::milliseconds(StableHash({ mInstance, aGroup }) % kClaimSpreadMs);
+  const Duration spread = ClaimSpread(aGroup);
   if (isGone || health.mIsDraining) {
     const Duration patience = health.mIsDraining ? Duration::zero() : kGonePatience;
     if (aNow - *aRun.mReasonSince >= patience + spread) {
@@ -102,6 +107,39 @@
   }
 }
 
+Duration
+PromotionCoordinator::ClaimSpread(const std::string& aGroup) const
+{
+  return std::chrono::milliseconds(StableHash({ mInstance, aGroup }) % kClaimSpreadMs);
+}
+
+void
+PromotionCoordinator::WatchLag(const std::string& aGroup,
+                               GroupRun& aRun,
+                               const PrimaryHealth& aHealth,
+                               TimePoint aNow)
+{
+  if (!aHealth.mIsOverloadedByLag || !aHealth.mPosition) {
+    aRun.mOverloadedSince.reset();
+    return;
+  }
+  if (!aRun.mOverloadedSince) {
+    aRun.mOverloadedSince = aNow;
+  }
+  const SeenRow* leadership = Find(LeadershipKey(aGroup));
+  const bool isRecent =
+    leadership != nullptr && aNow - leadership->mSeenAt < kSwitchoverSpacing;
+  if (isRecent || aNow < aRun.mClaimAfter ||
+      aNow - *aRun.mOverloadedSince < kSwitchoverPatience + ClaimSpread(aGroup)) {
+    return;
+  }
+  aRun.mOverloadedSince.reset();
+  aRun.mIsSwitchover = true;
+  aRun.mMustHave = *aHealth.mPosition;
+  aRun.mReplaced = aHealth.mMember;
+  Claim(aGroup, aRun, "replicas_lag", aNow);
+}
+
 bool
 PromotionCoordinator::IsConfirmedDown(const std::string& aGroup,
                                       const GroupRun& aRun,
--- a/src/libs/proxy/promotioncoordinator.h
+++ b/src/libs/proxy/promotioncoordinator.h
@@ -44,7 +44,8 @@
 };
 
 /**
- * Replaces the primary of a group that can't be reached, leaves or is gone.
+ * Replaces the primary of a group that can't be reached, leaves, is gone, or has too much
+ * work because its replicas lag.
  *
  * Instances that can't reach a primary say so in the shared store, and those that can
  * object. The first to find the primary down takes the next fencing token by a
@@ -88,6 +89,12 @@
     std::uint64_t mRun = 0;
     /** Since when the group has a reason for a promotion. */
     std::optional<TimePoint> mReasonSince;
+    /** Since when the primary has been overloaded by the lag of its replicas. */
+    std::optional<TimePoint> mOverloadedSince;
+    /** The promotion replaces a primary that lives and leads. */
+    bool mIsSwitchover = false;
+    /** Position that the promoted member must have received. */
+    LogPosition mMustHave;
     std::uint64_t mToken = 0;
     /** Member that the promotion replaces. */
     std::string mReplaced;
@@ -117,6 +124,15 @@
   };
 
   void Watch(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  /** Hands the lead over from a primary whose replicas are too far behind to share its
+   * reads: the old primary is a fresh replica of the new one. */
+  void WatchLag(const std::string& aGroup,
+                GroupRun& aRun,
+                const PrimaryHealth& aHealth,
+                TimePoint aNow);
+  /** Stops the old primary from acknowledging what the new one would not receive. */
+  void DemoteReplaced(const std::string& aGroup, const GroupRun& aRun, TimePoint aNow);
+  [[nodiscard]] Duration ClaimSpread(const std::string& aGroup) const;
   [[nodiscard]] bool IsConfirmedDown(const std::string& aGroup,
                                      const GroupRun& aRun,
                                      const PrimaryHealth& aHealth,
@@ -133,6 +149,11 @@
              TimePoint aNow);
   void Choose(const std::string& aGroup, TimePoint aNow);
   void FinishChoice(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  /** @return whether a switchover loses nothing and helps; otherwise it is given up */
+  bool IsSwitchoverUseful(const std::string& aGroup,
+                          GroupRun& aRun,
+                          const Candidate& aBest,
+                          TimePoint aNow);
   void Call(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
   void OnCallAnswer(const std::string& aGroup,
                     std::uint64_t aRun,
--- a/src/libs/proxy/promotioncoordinator_run.cpp
+++ b/src/libs/proxy/promotioncoordinator_run.cpp
@@ -90,6 +90,9 @@
     Abandon(aRun, kAbandonPause, aNow);
     return;
   }
+  if (aRun.mIsSwitchover && !IsSwitchoverUseful(aGroup, aRun, *best, aNow)) {
+    return;
+  }
   aRun.mTarget = best->mMember;
   mHooks.mLog(LogLevel::Info,
               "promotion_chosen",
@@ -103,6 +106,36 @@
   Call(aGroup, aRun, aNow);
 }
 
+bool
+PromotionCoordinator::IsSwitchoverUseful(const std::string& aGroup,
+                                         GroupRun& aRun,
+                                         const Candidate& aBest,
+                                         TimePoint aNow)
+{
+  Duration leastLag = Duration::max();
+  for (const Candidate& candidate : aRun.mCandidates) {
+    if (candidate.mStatus) {
+      leastLag = std::min(leastLag, candidate.mStatus->mLag);
+    }
+  }
+  // A replica that receives too little would roll commits of the living primary back.
+  const bool receivesAll = aBest.mStatus->mReceived >= aRun.mMustHave;
+  if (receivesAll && leastLag >= kSwitchoverLag) {
+    return true;
+  }
+  mHooks.mLog(
+    LogLevel::Info,
+    "switchover_given_up",
+    { { "group", aGroup },
+      { "received", ToString(aBest.mStatus->mReceived) },
+      { "needed", ToString(aRun.mMustHave) },
+      { "lag_ms",
+        std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(leastLag).count()) } });
+  Abandon(aRun, receivesAll ? kSwitchoverPause : kSwitchoverSpacing, aNow);
+  return false;
+}
+
 void
 PromotionCoordinator::Call(const std::string& aGroup, GroupRun& aRun, TimePoint aNow)
 {
@@ -145,6 +178,9 @@
     mHooks.mExpect(aGroup, run.mTarget, now);
     // The promotion itself resumes the replicas.
     run.mHasPaused = false;
+    if (run.mIsSwitchover) {
+      DemoteReplaced(aGroup, run, now);
+    }
     Abandon(run, kClaimSpacing, now);
   } else if (aAnswer == PromotionAnswer::Refused) {
     run.mRefused[run.mTarget] = now + kRefusedPause;
@@ -157,6 +193,29 @@
   }
 }
 
+void
+PromotionCoordinator::DemoteReplaced(const std::string& aGroup,
+                                     const GroupRun& aRun,
+                                     TimePoint aNow)
+{
+  MemberCommand demote;
+  demote.mKind = CommandKind::Demote;
+  demote.mTerm = mHooks.mNewestTerm(aGroup) + 1;
+  mHooks.mQueryStatus(
+    aRun.mReplaced,
+    demote,
+    kChoiceTime,
+    aNow,
+    [this, aGroup, member = aRun.mReplaced](const std::optional<MemberReply>& aReply) {
+      // Without it, the last commits before the change may be lost.
+      mHooks.mLog(LogLevel::Info,
+                  "primary_demoted",
+                  { { "group", aGroup },
+                    { "member", member },
+                    { "answered", aReply ? "yes" : "no" } });
+    });
+}
+
 void
 PromotionCoordinator::ResumeCandidates(GroupRun& aRun, TimePoint aNow)
 {
--- a/src/libs/proxy/promotiontimes.h
+++ b/src/libs/proxy/promotiontimes.h
@@ -26,6 +26,15 @@
 /** After a claim by any instance, no other one follows for this long: the promotion needs
  * about a second. */
 constexpr Duration kClaimSpacing = 2500ms;
+/** A switchover costs the group's writes about a second: it follows only on overload that
+ * has lasted this long, and no other promotion follows for much longer. */
+constexpr Duration kSwitchoverPatience = 300ms;
+constexpr Duration kSwitchoverSpacing = 15s;
+/** A replica that is less behind than this catches up in about the time that a switchover
+ * takes. */
+constexpr Duration kSwitchoverLag = 1500ms;
+/** Pause after a switchover that was of no use. */
+constexpr Duration kSwitchoverPause = 2s;
 /** Instances wait up to this long, each another time, so that mostly one claims. */
 constexpr std::uint64_t kClaimSpreadMs = 60;
 
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -272,9 +272,32 @@
   if (!health.mDownSince && refusesToLead) {
     health.mDownSince = group->mLeaderlessSince;
   }
+  health.mPosition = claimant->mPosition;
+  health.mIsOverloadedByLag = aNow - group->mOverloadedAt < kOverloadSign &&
+                              AllReplicasLag(*group, *claimant, aNow);
   return health;
 }
 
+bool
+ProxyCore::AllReplicasLag(const Group& aGroup,
+                          const Member& aPrimary,
+                          TimePoint aNow) const
+{
+  bool isAnyLagging = false;
+  for (const std::string& id : aGroup.mMembers) {
+    const Member& member = mMembers.find(id)->second;
+    if (&member == &aPrimary || !IsUsable(member) || member.mEntry.mDraining ||
+        member.mUnreachableSince) {
+      continue;
+    }
+    if (!member.mLaggingSince || aNow - *member.mLaggingSince < kLagPatience) {
+      return false;
+    }
+    isAnyLagging = true;
+  }
+  return isAnyLagging;
+}
+
 std::vector<MemberEntry>
 ProxyCore::ReplicasOf(std::string_view aGroup) const
 {
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -291,6 +291,10 @@
   /** Takes a member out of its group because its entry names another one. */
   void MoveMember(Member& aMember, TimePoint aNow);
   void MaintainSessions(TimePoint aNow);
+  /** @return whether the group has replicas, and none was fresh enough for some time */
+  [[nodiscard]] bool AllReplicasLag(const Group& aGroup,
+                                    const Member& aPrimary,
+                                    TimePoint aNow) const;
   Group* FindGroup(std::string_view aName);
   [[nodiscard]] const Group* FindGroup(std::string_view aName) const;
   Member* FindMember(std::string_view aId);
--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -80,6 +80,7 @@
   }
   const auto wait = PredictedWait(found->second, aGroup, aNow);
   if (wait && aNow + *wait > ObjectiveLimit(found->second)) {
+    aGroup.mOverloadedAt = aNow;
     FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
   }
 }
@@ -164,6 +165,7 @@
     aOperation.mIsLate = true;
     // Where others still can be answered in time, there is no room for late ones.
     if (WaitingAhead(aOperation, group) > 0 && PredictedWait(aOperation, group, aNow)) {
+      group.mOverloadedAt = aNow;
       FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
       return;
     }
--- a/src/libs/proxy/proxycore_errors.cpp
+++ b/src/libs/proxy/proxycore_errors.cpp
@@ -35,6 +35,9 @@
       aOperation.mRoute.mConsistency == Consistency::ReadYourWrites;
     if (!isOwnCommit) {
       member.mLaggingUntil = aNow + member.mLagBackoff;
+      if (!member.mLaggingSince) {
+        member.mLaggingSince = aNow;
+      }
     }
   }
 }
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -197,6 +197,9 @@
                             aNow);
     work.Add(took);
     member.mLagBackoff = {};
+    if (operation.mPurpose != OperationPurpose::TransactionNext) {
+      member.mLaggingSince.reset();
+    }
     FinishSuccess(aKey, key, std::move(aReply), aNow);
     return;
   }
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -32,6 +32,13 @@
 constexpr Duration kLagBackoffFirst = 50ms;
 constexpr Duration kLagBackoffMost = 800ms;
 
+/** A replica that has lagged for longer than this may be far behind: usual lags are below
+ * the staleness that reads accept (1.5 s and more). */
+constexpr Duration kLagPatience = 800ms;
+/** A refusal for overload counts this long as a sign that the primary has too much work.
+ */
+constexpr Duration kOverloadSign = 500ms;
+
 /** A member that refused to lead is not taken for the primary for this long. */
 constexpr Duration kNotLeadingPause = 200ms;
 /** A promotion may take this long until its member leads; a group whose primary refuses
--- a/tests/auto/proxy/storeworld.h
+++ b/tests/auto/proxy/storeworld.h
@@ -90,6 +90,14 @@
   std::string mPrimary = "p";
   bool mPrimaryLives = true;
   bool mPrimaryDrains = false;
+  /** Instances report that all replicas lag and the primary has too much work. */
+  bool mIsOverloadedByLag = false;
+  Duration mReplicaLag = 10s;
+  LogPosition mPrimaryPosition{ 1, 100 };
+  /** The platform refuses each promotion. */
+  bool mRefusesPromotion = false;
+  /** Members that were demoted, in order. */
+  std::vector<std::string> mDemoted;
   /** Share of calls whose answer is lost, and of these, that take effect late. */
   double mLostShare = 0;
   double mLateShare = 0;
@@ -154,7 +162,7 @@
 
   PromotionAnswer Promote(const PromotionCall& aCall)
   {
-    if (aCall.mToken < mSeenToken) {
+    if (mRefusesPromotion || aCall.mToken < mSeenToken) {
       return PromotionAnswer::Refused;
     }
     mSeenToken = aCall.mToken;
@@ -167,6 +175,7 @@
       mPrimary = member;
       mPrimaryLives = true;
       mPrimaryDrains = false;
+      mIsOverloadedByLag = false;
       for (auto& [name, instance] : mInstances) {
         instance.mReachesPrimary = true;
       }
@@ -215,6 +224,8 @@
       health.mIsListed = true;
       health.mIsDraining = mPrimaryDrains;
       health.mDownSince = instance.mDownSince;
+      health.mIsOverloadedByLag = mIsOverloadedByLag && !instance.mDownSince;
+      health.mPosition = mPrimaryPosition;
       health.mLastReply = instance.mDownSince ? *instance.mDownSince : mNow;
       return health;
     };
@@ -242,6 +253,8 @@
         mWasPaused = true;
       } else if (aCommand.mKind == CommandKind::Resume) {
         mPaused.erase(member);
+      } else if (aCommand.mKind == CommandKind::Demote) {
+        mDemoted.push_back(member);
       }
       if (mSilentReplicas.contains(member)) {
         At(aTimeout, [aHook] { aHook(std::nullopt); });
@@ -249,8 +262,9 @@
       }
       At(5ms, [this, member, aHook] {
         MemberReply reply;
-        reply.mStatus =
-          MemberStatus{ MemberRole::Replica, 1, LogPosition{ 1, mReceived[member] } };
+        reply.mStatus = MemberStatus{
+          MemberRole::Replica, 1, LogPosition{ 1, mReceived[member] }, mReplicaLag
+        };
         aHook(reply);
       });
     };
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -116,6 +116,65 @@
   REQUIRE_FALSE(world.mAccepted.empty());
 }
 
+// Pattern: all replicas of a group apply commits many seconds late. Its reads were the
+// primary's for the rest of the day, and a third of them was refused.
+TEST_CASE("a primary that lagging replicas leave all reads hands the lead over once")
+{
+  StoreWorld world(4);
+  world.mIsOverloadedByLag = true;
+  world.Run(600ms);
+  REQUIRE(world.mAccepted.size() == 1);
+  REQUIRE(world.mAccepted[0].mCall.mMember == "r1");
+  // What the old primary acknowledges after that might not be received.
+  REQUIRE(world.mDemoted == std::vector<std::string>{ "p" });
+  world.Run(1s);
+  REQUIRE(world.mPrimary == "r1");
+  world.mIsOverloadedByLag = true;
+  world.Run(10s);
+  REQUIRE(world.mAccepted.size() == 1);
+}
+
+TEST_CASE("no lead is handed over to a replica that lacks commits of a living primary")
+{
+  StoreWorld world(4);
+  world.mIsOverloadedByLag = true;
+  world.mPrimaryPosition = { 1, 101 };
+  world.Run(10s);
+  REQUIRE(world.mAccepted.empty());
+  REQUIRE(world.mDemoted.empty());
+}
+
+TEST_CASE("no lead is handed over where a replica is fresh soon")
+{
+  StoreWorld world(4);
+  world.mIsOverloadedByLag = true;
+  world.mReplicaLag = 900ms;
+  world.Run(10s);
+  REQUIRE(world.mAccepted.empty());
+}
+
+// Guards against a group that is left without a primary by its own switchover.
+TEST_CASE("the old primary is not demoted before the platform has accepted its successor")
+{
+  StoreWorld world(4);
+  world.mIsOverloadedByLag = true;
+  world.mRefusesPromotion = true;
+  world.Run(10s);
+  REQUIRE(world.mDemoted.empty());
+}
+
+TEST_CASE("a short overload is no reason for a switchover")
+{
+  StoreWorld world(4);
+  for (int turn = 0; turn < 10; turn++) {
+    world.mIsOverloadedByLag = true;
+    world.Run(250ms);
+    world.mIsOverloadedByLag = false;
+    world.Run(250ms);
+  }
+  REQUIRE(world.mAccepted.empty());
+}
+
 TEST_CASE("coordination rows survive their encoding, and other text is refused")
 {
   const auto row = DecodeLeadership(Encode(LeadershipRow{ 7, "holder", "member" }));
--- a/tests/auto/proxy/tst_proxyoverload.cpp
+++ b/tests/auto/proxy/tst_proxyoverload.cpp
@@ -180,3 +180,55 @@
   REQUIRE(toPrimary >= 4);
   REQUIRE(toPrimary <= 9);
 }
+
+// Pattern: all replicas of a group apply commits many seconds late.
+TEST_CASE("a primary is overloaded by lag when no replica is fresh and statements wait")
+{
+  CoreFixture fixture;
+  fixture.SampleByWrite({ 1, 10 });
+  fixture.Start(1, "views");
+  const auto isOverloaded = [&] {
+    return fixture.mCore.PrimaryOf("group", fixture.mNow).mIsOverloadedByLag;
+  };
+  const auto overload = [&](SessionKey aFirst) {
+    for (SessionKey session = aFirst; session < aFirst + 60; session++) {
+      fixture.Start(session, "main");
+      fixture.Say(session, StatementKind::Write, "item data");
+    }
+  };
+  // Both replicas refuse each read.
+  for (int turn = 0; turn < 12; turn++) {
+    fixture.Advance(100ms);
+    fixture.AnswerSamples({ 1, 10 });
+    fixture.Say(1, StatementKind::Read, "item");
+    for (int attempt = 0; attempt < 2 && fixture.CountOf(CommandKind::Read) > 0;
+         attempt++) {
+      const auto sent = fixture.Last(CommandKind::Read);
+      if (fixture.MemberOf(sent) == "p") {
+        break;
+      }
+      fixture.Refuse(sent.mConnection, AnswerCode::Lagging);
+    }
+    fixture.mCore.OnSessionClosed(1, fixture.mNow);
+    fixture.Start(1, "views");
+  }
+  // Lag alone is no overload.
+  REQUIRE_FALSE(isOverloaded());
+  overload(200);
+  REQUIRE(isOverloaded());
+  // What still waits ends at its timeout.
+  for (int turn = 0; turn < 20; turn++) {
+    fixture.Advance(100ms);
+  }
+  REQUIRE_FALSE(isOverloaded());
+}
+
+TEST_CASE("overload alone doesn't count as lag")
+{
+  CoreFixture fixture;
+  for (SessionKey session = 1; session < 60; session++) {
+    fixture.Start(session, "main");
+    fixture.Say(session, StatementKind::Write, "item data");
+  }
+  REQUIRE_FALSE(fixture.mCore.PrimaryOf("group", fixture.mNow).mIsOverloadedByLag);
+}
