Let clients that come before the first configuration wait for it

Change: a session that starts before the configuration is known waits for it, at most 1 s; clients wait 2 s for their greeting.

--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -36,6 +36,7 @@
     group.mShortestObjective =
       std::min(group.mShortestObjective, route.mLatencyObjective);
   }
+  AdmitEarlySessions(aNow);
   for (auto& [name, group] : mGroups) {
     Dispatch(group, aNow);
   }
@@ -196,6 +197,7 @@
   MaintainSamples(aNow);
   RunStatusQueries(aNow);
   MaintainSessions(aNow);
+  AdmitEarlySessions(aNow);
   for (auto& [name, group] : mGroups) {
     Dispatch(group, aNow);
   }
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -125,7 +125,20 @@
     std::optional<ConnectionKey> mConnection;
   };
 
+  /** A client that came before the first configuration. */
+  struct EarlySession
+  {
+    std::string mDatabase;
+    TimePoint mSince;
+  };
+
   // proxycore_sessions.cpp
+  void RefuseSession(SessionKey aSession,
+                     std::string_view aDatabase,
+                     AnswerCode aCode,
+                     std::string_view aWhy);
+  /** Opens the sessions that waited for the configuration, or refuses them in time. */
+  void AdmitEarlySessions(TimePoint aNow);
   /** Ends the operation of a session whose client has left. */
   void AbandonOperation(OperationKey aKey, Session& aSession);
   void Handle(SessionKey aKey, Session& aSession, Statement aStatement, TimePoint aNow);
@@ -308,6 +321,7 @@
   std::map<std::string, Group, std::less<>> mGroups;
   std::map<std::string, Member, std::less<>> mMembers;
   std::unordered_map<SessionKey, Session> mSessions;
+  std::map<SessionKey, EarlySession> mEarlySessions;
   std::unordered_map<OperationKey, Operation> mOperations;
   std::unordered_map<ConnectionKey, PoolConnection> mConnections;
   std::set<std::pair<TimePoint, OperationKey>> mOperationTimers;
--- a/src/libs/proxy/proxycore_sessions.cpp
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -2,6 +2,8 @@
 
 #include "proxy/proxytimes.h"
 
+#include <utility>
+
 namespace papayaspindle::proxy {
 
 void
@@ -9,27 +11,55 @@
                            std::string_view aDatabase,
                            TimePoint aNow)
 {
+  if (!HasConfiguration()) {
+    mEarlySessions[aSession] = { std::string(aDatabase), aNow };
+    return;
+  }
+  if (!mConfiguration.mRoutes.contains(std::string(aDatabase))) {
+    RefuseSession(
+      aSession, aDatabase, AnswerCode::UnknownDatabase, "no route for the database");
+    return;
+  }
   Session session;
   session.mDatabase = aDatabase;
   session.mOpenedAt = aNow;
   session.mLastActivity = aNow;
-  if (!mConfiguration.mRoutes.contains(session.mDatabase)) {
-    ClientAnswer refusal;
-    refusal.mError = HasConfiguration() ? AnswerCode::UnknownDatabase : AnswerCode::Busy;
-    refusal.mText =
-      HasConfiguration() ? "no route for the database" : "no configuration yet";
-    mHooks.mLog(LogLevel::Info,
-                "session_refused",
-                { { "database", session.mDatabase },
-                  { "version", std::to_string(mConfiguration.mVersion) } });
-    mHooks.mAnswer(aSession, refusal);
-    mHooks.mCloseSession(aSession);
-    return;
-  }
   mSessions.emplace(aSession, std::move(session));
   mHooks.mWelcome(aSession);
 }
 
+void
+ProxyCore::RefuseSession(SessionKey aSession,
+                         std::string_view aDatabase,
+                         AnswerCode aCode,
+                         std::string_view aWhy)
+{
+  mHooks.mLog(LogLevel::Info,
+              "session_refused",
+              { { "database", std::string(aDatabase) },
+                { "reason", std::string(aWhy) },
+                { "version", std::to_string(mConfiguration.mVersion) } });
+  ClientAnswer refusal;
+  refusal.mError = aCode;
+  refusal.mText = aWhy;
+  mHooks.mAnswer(aSession, refusal);
+  mHooks.mCloseSession(aSession);
+}
+
+void
+ProxyCore::AdmitEarlySessions(TimePoint aNow)
+{
+  for (const auto& [key, early] : std::exchange(mEarlySessions, {})) {
+    if (HasConfiguration()) {
+      OnSessionOpened(key, early.mDatabase, aNow);
+    } else if (aNow - early.mSince < kConfigurationPatience) {
+      mEarlySessions.emplace(key, early);
+    } else {
+      RefuseSession(key, early.mDatabase, AnswerCode::Busy, "no configuration yet");
+    }
+  }
+}
+
 void
 ProxyCore::OnStatement(SessionKey aSession, Statement aStatement, TimePoint aNow)
 {
@@ -56,6 +86,7 @@
 void
 ProxyCore::OnSessionClosed(SessionKey aSession, TimePoint aNow)
 {
+  mEarlySessions.erase(aSession);
   const auto found = mSessions.find(aSession);
   if (found == mSessions.end()) {
     return;
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -78,6 +78,10 @@
 /** Connections to a leaving member are closed when unused for this long. */
 constexpr Duration kIdleConnection = 3s;
 
+/** A client that comes before the first configuration waits this long: half of the time
+ * that clients wait for their greeting (2 s). */
+constexpr Duration kConfigurationPatience = 1s;
+
 /** Clients still arrive until two readiness probes, one a second, have failed. */
 constexpr Duration kReadinessNotice = 2200ms;
 /** Time before the end of the grace at which every session is closed. */
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -23,9 +23,18 @@
     MemberCommand mCommand;
   };
 
-  CoreFixture()
+  enum class Begins
+  {
+    Configured,
+    Unconfigured,
+  };
+
+  explicit CoreFixture(Begins aBegins = Begins::Configured)
     : mCore(Settings(), Hooks())
   {
+    if (aBegins == Begins::Unconfigured) {
+      return;
+    }
     mCore.OnConfiguration(Configuration(1), mNow);
     ListMembers();
     OpenAll();
@@ -230,6 +239,7 @@
   std::map<ConnectionKey, std::string> mMemberOf;
   std::vector<ConnectionKey> mClosedConnections;
   std::vector<SessionKey> mClosedSessions;
+  std::vector<SessionKey> mWelcomed;
   std::vector<std::pair<OperationKey, ForwardedStatement>> mForwarded;
   bool mIsHome = true;
   std::vector<std::string> mLog;
@@ -241,7 +251,7 @@
     hooks.mAnswer = [this](SessionKey aKey, const ClientAnswer& aAnswer) {
       mAnswers[aKey].push_back(aAnswer);
     };
-    hooks.mWelcome = [](SessionKey) {};
+    hooks.mWelcome = [this](SessionKey aKey) { mWelcomed.push_back(aKey); };
     hooks.mCloseSession = [this](SessionKey aKey) { mClosedSessions.push_back(aKey); };
     hooks.mOpen = [this](ConnectionKey aKey, const MemberEntry& aMember) {
       mOpening.emplace_back(aKey, aMember.mId);
--- a/tests/auto/proxy/tst_proxysessions.cpp
+++ b/tests/auto/proxy/tst_proxysessions.cpp
@@ -234,3 +234,25 @@
   fixture.Advance(5s);
   REQUIRE(fixture.mClosedSessions.empty());
 }
+
+// Guards against clients that use up their attempts while an instance starts.
+TEST_CASE("a client that comes before the configuration waits for it, but not for long")
+{
+  CoreFixture fixture(CoreFixture::Begins::Unconfigured);
+  fixture.Start(1, "main");
+  fixture.Start(2, "nobody");
+  fixture.Start(3, "main");
+  fixture.mCore.OnSessionClosed(3, fixture.mNow);
+  fixture.Advance(900ms);
+  REQUIRE(fixture.AnswerCount(1) == 0);
+  REQUIRE(fixture.mWelcomed.empty());
+  fixture.mCore.OnConfiguration(CoreFixture::Configuration(1), fixture.mNow);
+  REQUIRE(fixture.mWelcomed == std::vector<SessionKey>{ 1 });
+  REQUIRE(fixture.LastAnswer(2).mError == AnswerCode::UnknownDatabase);
+
+  CoreFixture late(CoreFixture::Begins::Unconfigured);
+  late.Start(1, "main");
+  late.Advance(1s);
+  REQUIRE(late.LastAnswer(1).mError == AnswerCode::Busy);
+  REQUIRE(late.mClosedSessions == std::vector<SessionKey>{ 1 });
+}
