Promote with reserved tokens while the store is away

Change: each claim takes four tokens beyond the one it uses, and a home outside the primary's zone reserves tokens in calm times. Where writes to the store fail and the primary has been down for 1.2 s, the holder promotes with its next reserved token. Others take tokens above all reserved ones, and the platform refuses a token below the newest it has seen; after a refusal the rest of the reserve is dropped. A restarted process never uses the tokens of the one before. An instance that is cut off from most zones promotes nobody.

--- a/src/libs/proxy/coordinationrows.cpp
+++ b/src/libs/proxy/coordinationrows.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::string_view kLeadershipPrefix = "leadership/";
 constexpr std::string_view kOpinionPrefix = "opinion/";
+constexpr std::string_view kPromotion = "promotion";
+constexpr std::string_view kReservation = "reservation";
 
 std::vector<std::string_view>
 Words(std::string_view aText)
@@ -52,7 +54,12 @@
 std::string
 Encode(const LeadershipRow& aRow)
 {
-  return fmt::format("{} {} {}", aRow.mToken, aRow.mHolder, aRow.mMember);
+  return fmt::format("{} {} {} {}",
+                     aRow.mToken,
+                     aRow.mHolder,
+                     aRow.mMember,
+                     aRow.mPurpose == LeadershipPurpose::Promotion ? kPromotion
+                                                                   : kReservation);
 }
 
 std::string
@@ -66,7 +73,7 @@
 {
   const std::vector<std::string_view> words = Words(aText);
   LeadershipRow row;
-  if (words.size() != 3) {
+  if (words.size() != 4 || (words[3] != kPromotion && words[3] != kReservation)) {
     return std::nullopt;
   }
   const char* end = words[0].data() + words[0].size();
@@ -76,6 +83,8 @@
   }
   row.mHolder = words[1];
   row.mMember = words[2];
+  row.mPurpose = words[3] == kPromotion ? LeadershipPurpose::Promotion
+                                        : LeadershipPurpose::Reservation;
   return row;
 }
 
--- a/src/libs/proxy/coordinationrows.h
+++ b/src/libs/proxy/coordinationrows.h
@@ -10,13 +10,26 @@
 /** Table of the shared store in which instances coordinate promotions. */
 inline constexpr std::string_view kCoordinationTable = "papayaspindle";
 
-/** The newest decision to promote a member of a group; at most one instance writes each
- * token, since each write is conditional on the row before. */
+/** What a leadership row was written for. */
+enum class LeadershipPurpose : std::uint8_t
+{
+  /** The holder promotes a member now. */
+  Promotion,
+  /** The holder may promote later, also while the store is away. */
+  Reservation,
+};
+
+/** The newest tokens of a group; at most one instance has each of them, since each write
+ * is conditional on the row before. */
 struct LeadershipRow
 {
+  /** The newest token that the holder may use. The write that stores it gives the holder
+   * all tokens above those of the row before. */
   std::uint64_t mToken = 0;
   std::string mHolder;
+  /** Member that is replaced, or "-". */
   std::string mMember;
+  LeadershipPurpose mPurpose = LeadershipPurpose::Promotion;
 };
 
 /** What an instance says of a group's primary while some instance doubts it. */
--- a/src/libs/proxy/hometable.cpp
+++ b/src/libs/proxy/hometable.cpp
@@ -67,12 +67,18 @@
 
 bool
 HomeTable::IsHome(std::string_view aGroup) const
+{
+  return IsHome(aGroup, mInstance);
+}
+
+bool
+HomeTable::IsHome(std::string_view aGroup, const std::string& aInstance) const
 {
   if (mInstances.size() <= kDirectInstances) {
-    return !mInstances.empty();
+    return mInstances.contains(aInstance);
   }
   const std::vector<std::string>& homes = HomesOf(aGroup);
-  return std::find(homes.begin(), homes.end(), mInstance) != homes.end();
+  return std::find(homes.begin(), homes.end(), aInstance) != homes.end();
 }
 
 std::uint32_t
@@ -125,6 +131,13 @@
   return best;
 }
 
+std::optional<std::string>
+HomeTable::ZoneOf(std::string_view aInstance) const
+{
+  const auto found = mInstances.find(aInstance);
+  return found == mInstances.end() ? std::nullopt : std::optional(found->second.mZone);
+}
+
 std::optional<std::string>
 HomeTable::AddressOf(std::string_view aInstance) const
 {
--- a/src/libs/proxy/hometable.h
+++ b/src/libs/proxy/hometable.h
@@ -45,6 +45,8 @@
   /** @return whether this instance holds connections to the group's members; false until
    * the instances are known */
   [[nodiscard]] bool IsHome(std::string_view aGroup) const;
+  /** @return whether another instance holds connections to the group's members */
+  [[nodiscard]] bool IsHome(std::string_view aGroup, const std::string& aInstance) const;
   /** @return whether the instances are known */
   [[nodiscard]] bool IsKnown() const { return !mInstances.empty(); }
   /** @return instances that hold connections to the group's members */
@@ -57,6 +59,8 @@
     std::string_view aGroup,
     const std::set<std::string>& aExcluded,
     TimePoint aNow) const;
+  /** @return zone of an instance, or nothing */
+  [[nodiscard]] std::optional<std::string> ZoneOf(std::string_view aInstance) const;
   /** @return address of an instance's peer listener, or nothing */
   [[nodiscard]] std::optional<std::string> AddressOf(std::string_view aInstance) const;
 
--- a/src/libs/proxy/promotioncoordinator.cpp
+++ b/src/libs/proxy/promotioncoordinator.cpp
@@ -67,12 +67,15 @@
   const PrimaryHealth health = mHooks.mPrimary(aGroup, aNow);
   const bool isGone = health.mMember.empty() || !health.mIsListed;
   const bool hasReason = isGone || health.mIsDraining || health.mDownSince;
-  // Without a member to promote, or before the rows are read, nothing can be done.
-  const bool canPromote = mHasRows && !mHooks.mReplicas(aGroup).empty();
+  // Without a member to promote, before the rows are read, or on the smaller side of a
+  // partition, nothing can be done.
+  const bool canPromote =
+    mHasRows && !mHooks.mIsCutOff() && !mHooks.mReplicas(aGroup).empty();
   if (!hasReason || !canPromote) {
     aRun.mReasonSince.reset();
     if (canPromote) {
       WatchLag(aGroup, aRun, health, aNow);
+      WatchReservation(aGroup, aRun, aNow);
     }
     return;
   }
@@ -84,8 +87,7 @@
   if (aNow < aRun.mClaimAfter) {
     return;
   }
-  const SeenRow* leadership = Find(LeadershipKey(aGroup));
-  if (leadership != nullptr && aNow - leadership->mSeenAt < kClaimSpacing) {
+  if (IsPromotionRecent(aGroup, kClaimSpacing, aNow)) {
     return;
   }
   const Duration spread = ClaimSpread(aGroup);
@@ -104,9 +106,27 @@
       IsConfirmedDown(aGroup, aRun, health, aNow)) {
     aRun.mReplaced = health.mMember;
     Claim(aGroup, aRun, "unreachable", aNow);
+  } else if (aRun.mStoreAwaySince && aNow - *aRun.mReasonSince >= kStoreAwayPatience &&
+             HasReservedToken(aGroup, aRun)) {
+    // Nobody's objections can be read, and nobody else can take a token.
+    aRun.mReplaced = health.mMember;
+    PromoteReserved(aGroup, aRun, "unreachable", aNow);
   }
 }
 
+bool
+PromotionCoordinator::IsPromotionRecent(const std::string& aGroup,
+                                        Duration aSpacing,
+                                        TimePoint aNow) const
+{
+  const SeenRow* seen = Find(LeadershipKey(aGroup));
+  if (seen == nullptr || aNow - seen->mSeenAt >= aSpacing) {
+    return false;
+  }
+  const auto row = DecodeLeadership(seen->mRow.mValue);
+  return !row || row->mPurpose == LeadershipPurpose::Promotion;
+}
+
 Duration
 PromotionCoordinator::ClaimSpread(const std::string& aGroup) const
 {
@@ -126,10 +146,7 @@
   if (!aRun.mOverloadedSince) {
     aRun.mOverloadedSince = aNow;
   }
-  const SeenRow* leadership = Find(LeadershipKey(aGroup));
-  const bool isRecent =
-    leadership != nullptr && aNow - leadership->mSeenAt < kSwitchoverSpacing;
-  if (isRecent || aNow < aRun.mClaimAfter ||
+  if (IsPromotionRecent(aGroup, kSwitchoverSpacing, aNow) || aNow < aRun.mClaimAfter ||
       aNow - *aRun.mOverloadedSince < kSwitchoverPatience + ClaimSpread(aGroup)) {
     return;
   }
@@ -189,9 +206,11 @@
               aIsAlive ? "primary_vouched_for" : "primary_doubted",
               { { "group", aGroup }, { "member", aMember } });
   mStore.mWrite({ row }, [this, aGroup](const WriteResult& aResult) {
+    GroupRun& run = mRuns[aGroup];
+    NoteStore(run, aResult, mHooks.mNow());
     if (!std::holds_alternative<Written>(aResult)) {
       // Tried again with the row's revision from the feed.
-      mRuns[aGroup].mOpinionAt = mHooks.mNow() - kOpinionLasts / 2 + kAbandonPause;
+      run.mOpinionAt = mHooks.mNow() - kOpinionLasts / 2 + kAbandonPause;
     }
   });
 }
@@ -225,49 +244,9 @@
                             const std::string& aReason,
                             TimePoint aNow)
 {
-  const std::string key = LeadershipKey(aGroup);
-  const SeenRow* seen = Find(key);
-  LeadershipRow claim;
-  if (seen != nullptr) {
-    const auto current = DecodeLeadership(seen->mRow.mValue);
-    if (!current) {
-      mHooks.mLog(LogLevel::Error, "leadership_unreadable", { { "group", aGroup } });
-      aRun.mClaimAfter = aNow + kClaimSpacing;
-      return;
-    }
-    claim.mToken = current->mToken;
-  }
-  claim.mToken++;
-  claim.mHolder = mInstance;
-  claim.mMember = aRun.mReplaced.empty() ? "-" : aRun.mReplaced;
   aRun.mPhase = Phase::Claiming;
-  aRun.mRun++;
-  aRun.mToken = claim.mToken;
-  mHooks.mLog(LogLevel::Info,
-              "promotion_claimed",
-              { { "group", aGroup },
-                { "reason", aReason },
-                { "replaces", claim.mMember },
-                { "token", std::to_string(claim.mToken) } });
-  StoredRow row;
-  row.mTable = kCoordinationTable;
-  row.mKey = key;
-  row.mValue = Encode(claim);
-  row.mRevision = seen == nullptr ? 0 : seen->mRow.mRevision;
-  mStore.mWrite({ row }, [this, aGroup, number = aRun.mRun](const WriteResult& aResult) {
-    GroupRun& run = mRuns[aGroup];
-    const TimePoint now = mHooks.mNow();
-    if (run.mRun != number || run.mPhase != Phase::Claiming) {
-      return;
-    }
-    if (!std::holds_alternative<Written>(aResult)) {
-      // Another instance was first, or the claim may still be written: its token is
-      // never used, as the feed brings the row before the next claim.
-      Abandon(run, kAbandonPause, now);
-      return;
-    }
-    Choose(aGroup, now);
-  });
+  aRun.mReason = aReason;
+  WriteClaim(aGroup, aRun, LeadershipPurpose::Promotion, aNow);
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/promotioncoordinator.h
+++ b/src/libs/proxy/promotioncoordinator.h
@@ -30,6 +30,12 @@
   std::function<std::vector<MemberEntry>(std::string_view aGroup)> mReplicas;
   /** Newest term that was seen in a group. */
   std::function<std::uint64_t(std::string_view aGroup)> mNewestTerm;
+  /** Whether this instance is partitioned from most zones: what it finds down may be up.
+   */
+  std::function<bool()> mIsCutOff;
+  /** Whether an instance is known as a home of the group outside the primary's zone: it
+   * can replace the primary when that zone is cut off. */
+  std::function<bool(std::string_view aGroup, const std::string& aInstance)> mIsStandby;
   /** Replicas that must have received a commit before it is acknowledged. */
   std::function<std::uint32_t(std::string_view aGroup)> mSynchronousReplicas;
   std::function<
@@ -50,6 +56,9 @@
  * Instances that can't reach a primary say so in the shared store, and those that can
  * object. The first to find the primary down takes the next fencing token by a
  * conditional write, chooses the replica that received most, and calls the platform.
+ *
+ * A home holds some tokens in reserve for each group, so that it can replace a primary
+ * while the store is away. The platform refuses a token once it has seen a newer one.
  * Single-threaded.
  */
 class PromotionCoordinator
@@ -95,7 +104,14 @@
     bool mIsSwitchover = false;
     /** Position that the promoted member must have received. */
     LogPosition mMustHave;
+    /** Token of the current or last promotion; those up to mLastToken are unused. */
     std::uint64_t mToken = 0;
+    /** Newest token that this process may use, of its last claim; 0 for none. */
+    std::uint64_t mLastToken = 0;
+    /** Since when writes for this group have failed at the store. */
+    std::optional<TimePoint> mStoreAwaySince;
+    /** Why a promotion was claimed, for the log. */
+    std::string mReason;
     /** Member that the promotion replaces. */
     std::string mReplaced;
     std::vector<Candidate> mCandidates;
@@ -108,6 +124,8 @@
     bool mIsCalling = false;
     /** Members that refused a promotion, and until when they are left out. */
     std::map<std::string, TimePoint> mRefused;
+    /** When this instance reserves tokens unless another one does. */
+    std::optional<TimePoint> mReservationAt;
     /** No claim before this time. */
     TimePoint mClaimAfter;
     /** When this instance's opinion was last written, or its write began. */
@@ -132,7 +150,33 @@
                 TimePoint aNow);
   /** Stops the old primary from acknowledging what the new one would not receive. */
   void DemoteReplaced(const std::string& aGroup, const GroupRun& aRun, TimePoint aNow);
+  /** Takes tokens for the time in which the store is away, if no other home has some. */
+  void WatchReservation(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  /** Writes the group's leadership row; the tokens are this process's once it is done. */
+  void WriteClaim(const std::string& aGroup,
+                  GroupRun& aRun,
+                  LeadershipPurpose aPurpose,
+                  TimePoint aNow);
+  void OnClaimWritten(const std::string& aGroup,
+                      LeadershipPurpose aPurpose,
+                      const LeadershipRow& aClaim,
+                      const WriteResult& aResult);
+  /** @return whether reserved tokens are left and no other instance is known to have
+   * newer ones */
+  [[nodiscard]] bool HasReservedToken(const std::string& aGroup,
+                                      const GroupRun& aRun) const;
+  /** Promotes with a reserved token. */
+  void PromoteReserved(const std::string& aGroup,
+                       GroupRun& aRun,
+                       const std::string& aReason,
+                       TimePoint aNow);
   [[nodiscard]] Duration ClaimSpread(const std::string& aGroup) const;
+  /** @return whether a promotion of the group was claimed within the spacing */
+  [[nodiscard]] bool IsPromotionRecent(const std::string& aGroup,
+                                       Duration aSpacing,
+                                       TimePoint aNow) const;
+  /** Notes whether the store has carried a write out. */
+  static void NoteStore(GroupRun& aRun, const WriteResult& aResult, TimePoint aNow);
   [[nodiscard]] bool IsConfirmedDown(const std::string& aGroup,
                                      const GroupRun& aRun,
                                      const PrimaryHealth& aHealth,
--- a/src/libs/proxy/promotioncoordinator_run.cpp
+++ b/src/libs/proxy/promotioncoordinator_run.cpp
@@ -142,7 +142,7 @@
   const SeenRow* seen = Find(LeadershipKey(aGroup));
   const auto current =
     seen == nullptr ? std::nullopt : DecodeLeadership(seen->mRow.mValue);
-  if (current && current->mToken > aRun.mToken) {
+  if (current && current->mToken > aRun.mLastToken) {
     mHooks.mLog(LogLevel::Info,
                 "promotion_superseded",
                 { { "group", aGroup }, { "holder", current->mHolder } });
@@ -184,6 +184,8 @@
     Abandon(run, kClaimSpacing, now);
   } else if (aAnswer == PromotionAnswer::Refused) {
     run.mRefused[run.mTarget] = now + kRefusedPause;
+    // Another instance may have used a newer token; the reserve would be refused, too.
+    run.mLastToken = run.mToken;
     Abandon(run, kAbandonPause, now);
   } else if (run.mCalls < kMaxCalls) {
     run.mCallAt = now + kCallPause;
--- a/src/libs/proxy/promotiontimes.h
+++ b/src/libs/proxy/promotiontimes.h
@@ -35,6 +35,15 @@
 constexpr Duration kSwitchoverLag = 1500ms;
 /** Pause after a switchover that was of no use. */
 constexpr Duration kSwitchoverPause = 2s;
+/** Tokens that a claim takes beyond the one it uses: attempts while the store is away. */
+constexpr std::uint64_t kReservedTokens = 4;
+/** A reservation waits this long after the last change of the row, and a bit more by
+ * instance, so that mostly one instance writes it. */
+constexpr Duration kReservationDelay = 3s;
+constexpr std::uint64_t kReservationSpreadMs = 2000;
+/** A primary that is down while the store is away is replaced by the holder of reserved
+ * tokens after this time; instances that reach the store are faster. */
+constexpr Duration kStoreAwayPatience = 1200ms;
 /** Instances wait up to this long, each another time, so that mostly one claims. */
 constexpr std::uint64_t kClaimSpreadMs = 60;
 
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -241,26 +241,40 @@
   return names;
 }
 
-PrimaryHealth
-ProxyCore::PrimaryOf(std::string_view aGroup, TimePoint aNow) const
+const Member*
+ProxyCore::Claimant(const Group& aGroup, TimePoint aNow) const
 {
-  PrimaryHealth health;
-  const Group* group = FindGroup(aGroup);
-  if (group == nullptr) {
-    return health;
+  if (const Member* leading = PrimaryMember(aGroup, aNow)) {
+    return leading;
   }
   const Member* claimant = nullptr;
-  for (const std::string& id : group->mMembers) {
-    const auto found = mMembers.find(id);
-    const Member& member = found->second;
+  for (const std::string& id : aGroup.mMembers) {
+    const Member& member = mMembers.find(id)->second;
     if (member.mPrimarySince > 0 &&
         (claimant == nullptr || member.mPrimarySince > claimant->mPrimarySince)) {
       claimant = &member;
     }
   }
-  if (const Member* leading = PrimaryMember(*group, aNow)) {
-    claimant = leading;
+  return claimant;
+}
+
+std::optional<std::string>
+ProxyCore::PrimaryZone(std::string_view aGroup, TimePoint aNow) const
+{
+  const Group* group = FindGroup(aGroup);
+  const Member* claimant = group == nullptr ? nullptr : Claimant(*group, aNow);
+  return claimant == nullptr ? std::nullopt : std::optional(claimant->mEntry.mZone);
+}
+
+PrimaryHealth
+ProxyCore::PrimaryOf(std::string_view aGroup, TimePoint aNow) const
+{
+  PrimaryHealth health;
+  const Group* group = FindGroup(aGroup);
+  if (group == nullptr) {
+    return health;
   }
+  const Member* claimant = Claimant(*group, aNow);
   if (claimant == nullptr) {
     return health;
   }
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -92,6 +92,9 @@
   [[nodiscard]] const ProxyConfiguration& Configuration() const { return mConfiguration; }
   [[nodiscard]] std::vector<std::string> GroupNames() const;
   [[nodiscard]] PrimaryHealth PrimaryOf(std::string_view aGroup, TimePoint aNow) const;
+  /** @return zone of the member that leads the group or says so, or nothing */
+  [[nodiscard]] std::optional<std::string> PrimaryZone(std::string_view aGroup,
+                                                       TimePoint aNow) const;
   /** @return listed members of the group that are no primary */
   [[nodiscard]] std::vector<MemberEntry> ReplicasOf(std::string_view aGroup) const;
   /** @return when a member of a zone last answered */
@@ -308,6 +311,8 @@
   [[nodiscard]] bool AllReplicasLag(const Group& aGroup,
                                     const Member& aPrimary,
                                     TimePoint aNow) const;
+  /** @return the member that leads the group, or else the newest that says so */
+  [[nodiscard]] const Member* Claimant(const Group& aGroup, TimePoint aNow) const;
   Group* FindGroup(std::string_view aName);
   [[nodiscard]] const Group* FindGroup(std::string_view aName) const;
   Member* FindMember(std::string_view aId);
--- a/tests/auto/proxy/storeworld.h
+++ b/tests/auto/proxy/storeworld.h
@@ -31,6 +31,8 @@
     bool mHasStore = true;
     /** Reaches the primary. */
     bool mReachesPrimary = true;
+    /** Is partitioned from most zones and knows it. */
+    bool mIsCutOff = false;
     bool mIsFrozen = false;
     std::optional<TimePoint> mDownSince;
   };
@@ -81,6 +83,27 @@
     return members;
   }
 
+  /** Makes the store reachable or not, for every instance. */
+  void SetStore(bool aIsThere)
+  {
+    for (auto& [name, instance] : mInstances) {
+      instance.mHasStore = aIsThere;
+    }
+    if (aIsThere) {
+      Deliver();
+    }
+  }
+
+  /** Replaces an instance's process by a new one that knows nothing. */
+  void Restart(const std::string& aName)
+  {
+    // Answers to calls of the old process must find nobody.
+    mRetired.push_back(std::move(mInstances[aName].mCoordinator));
+    mInstances[aName].mCoordinator =
+      std::make_unique<PromotionCoordinator>(aName, Store(aName), Hooks(aName));
+    Deliver();
+  }
+
   double Chance() { return std::uniform_real_distribution<double>(0, 1)(mRandom); }
 
   TimePoint mNow{ std::chrono::hours(1) };
@@ -96,6 +119,8 @@
   LogPosition mPrimaryPosition{ 1, 100 };
   /** The platform refuses each promotion. */
   bool mRefusesPromotion = false;
+  /** Instances in the zone of the primary. */
+  std::set<std::string> mInPrimaryZone;
   /** Members that were demoted, in order. */
   std::vector<std::string> mDemoted;
   /** Share of calls whose answer is lost, and of these, that take effect late. */
@@ -110,6 +135,8 @@
   std::vector<std::string> mViolations;
 
 private:
+  std::vector<std::unique_ptr<PromotionCoordinator>> mRetired;
+
   void At(Duration aDelay, std::function<void()> aTask)
   {
     mDue.emplace(mNow + aDelay, std::move(aTask));
@@ -240,6 +267,10 @@
       }
       return replicas;
     };
+    hooks.mIsStandby = [this](std::string_view, const std::string& aInstance) {
+      return mInstances.contains(aInstance) && !mInPrimaryZone.contains(aInstance);
+    };
+    hooks.mIsCutOff = [this, aName] { return mInstances[aName].mIsCutOff; };
     hooks.mNewestTerm = [](std::string_view) { return 1; };
     hooks.mSynchronousReplicas = [this](std::string_view) { return mSynchronous; };
     hooks.mQueryStatus = [this](std::string_view aMember,
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -175,11 +175,109 @@
   REQUIRE(world.mAccepted.empty());
 }
 
+// Guards against a group that has no primary for as long as the store is away.
+TEST_CASE("a home with reserved tokens replaces a primary while the store is away")
+{
+  StoreWorld world(4);
+  world.Run(6s);
+  REQUIRE(world.mAccepted.empty());
+  world.SetStore(false);
+  world.mPrimaryLives = false;
+  world.Run(4s);
+  REQUIRE(world.Promoted() == std::vector<std::string>{ "r1" });
+  // The next one, too; then the reserve of one claim is used up at some time.
+  world.mPrimaryLives = false;
+  world.Run(6s);
+  REQUIRE(world.mPrimaryLives);
+  REQUIRE(world.mViolations.empty());
+  // Back at the store, others take tokens above all reserved ones.
+  const std::uint64_t used = world.mSeenToken;
+  world.SetStore(true);
+  world.Run(1s);
+  world.mPrimaryLives = false;
+  world.Run(4s);
+  REQUIRE(world.mPrimaryLives);
+  REQUIRE(world.mSeenToken > used);
+  REQUIRE(world.mViolations.empty());
+}
+
+TEST_CASE("a primary that is only slow to answer some stays while the store is away")
+{
+  StoreWorld world(4);
+  world.Run(6s);
+  world.SetStore(false);
+  for (auto& [name, instance] : world.mInstances) {
+    instance.mReachesPrimary = false;
+  }
+  world.Run(900ms);
+  for (auto& [name, instance] : world.mInstances) {
+    instance.mReachesPrimary = true;
+  }
+  world.Run(5s);
+  REQUIRE(world.mAccepted.empty());
+}
+
+// Guards against a primary that moves to the smaller side of a partition, which may reach
+// the platform.
+TEST_CASE("an instance that is cut off from most zones promotes nobody")
+{
+  StoreWorld world(3);
+  world.Run(6s);
+  for (auto& [name, instance] : world.mInstances) {
+    instance.mIsCutOff = true;
+  }
+  world.mPrimaryLives = false;
+  world.Run(6s);
+  REQUIRE(world.mAccepted.empty());
+}
+
+TEST_CASE("reserved tokens of a holder that has restarted are never used")
+{
+  StoreWorld world(1);
+  world.Run(6s);
+  world.Restart("instance-0");
+  world.SetStore(false);
+  world.mPrimaryLives = false;
+  world.Run(6s);
+  REQUIRE(world.mAccepted.empty());
+}
+
+TEST_CASE("one home reserves tokens, and another one once that home is gone")
+{
+  StoreWorld world(4);
+  world.Run(8s);
+  const auto first = DecodeLeadership(world.mRows["leadership/group"].mValue);
+  REQUIRE(first);
+  REQUIRE(first->mPurpose == LeadershipPurpose::Reservation);
+  world.Run(20s);
+  REQUIRE(DecodeLeadership(world.mRows["leadership/group"].mValue)->mToken ==
+          first->mToken);
+  world.mInstances.erase(first->mHolder);
+  world.Run(8s);
+  const auto next = DecodeLeadership(world.mRows["leadership/group"].mValue);
+  REQUIRE(next->mHolder != first->mHolder);
+  REQUIRE(next->mToken > first->mToken);
+}
+
+// Guards against a holder that is cut off together with the primary.
+TEST_CASE("a home outside the primary's zone takes the reserve over")
+{
+  StoreWorld world(4);
+  world.Run(8s);
+  const auto first = DecodeLeadership(world.mRows["leadership/group"].mValue);
+  world.mInPrimaryZone = { first->mHolder };
+  world.Run(8s);
+  const auto next = DecodeLeadership(world.mRows["leadership/group"].mValue);
+  REQUIRE(next->mHolder != first->mHolder);
+}
+
 TEST_CASE("coordination rows survive their encoding, and other text is refused")
 {
-  const auto row = DecodeLeadership(Encode(LeadershipRow{ 7, "holder", "member" }));
+  const auto row = DecodeLeadership(
+    Encode(LeadershipRow{ 7, "holder", "member", LeadershipPurpose::Reservation }));
   REQUIRE(row);
   REQUIRE(row->mToken == 7);
+  REQUIRE(row->mPurpose == LeadershipPurpose::Reservation);
   REQUIRE(row->mMember == "member");
   const auto opinion = DecodeOpinion(Encode(PrimaryOpinion{ "member", true }));
   REQUIRE(opinion);
