Read the rows of instances at a rate that doesn't grow with their number

Cause: every instance reads every row in each beat of 10 s, and four times in the first 2 s.

Change: with more than 12 instances, all rows are read once, again after 1.5 s, and then every 0.1 s for each instance (10 s at least), so an instance reads ten rows a second. A row counts for 3.2 beats. As a dead instance's row then counts for longer, a home that stays lost is avoided for twice as long each time, up to 8 s.

--- a/src/libs/proxy/hometable.cpp
+++ b/src/libs/proxy/hometable.cpp
@@ -12,7 +12,10 @@
 constexpr std::size_t kDirectInstances = 12;
 // One in each zone where there are up to four, and a spare one for the loss of a home.
 constexpr std::size_t kHomes = 4;
-constexpr Duration kAvoidance = std::chrono::milliseconds(1000);
+// A home that was lost is left out for this long, doubling while it stays lost: with many
+// instances, its row counts for minutes.
+constexpr Duration kAvoidanceFirst = std::chrono::seconds(1);
+constexpr Duration kAvoidanceMost = std::chrono::seconds(8);
 
 } // namespace
 
@@ -116,8 +119,8 @@
     if (aExcluded.contains(home)) {
       continue;
     }
-    const auto avoided = mAvoidUntil.find(home);
-    const bool isAvoided = avoided != mAvoidUntil.end() && avoided->second > aNow;
+    const auto avoided = mAvoided.find(home);
+    const bool isAvoided = avoided != mAvoided.end() && avoided->second.mUntil > aNow;
     const auto instance = mInstances.find(home);
     const bool isNear = instance != mInstances.end() && instance->second.mZone == mZone;
     // Instances of one zone spread over the homes of the others.
@@ -149,13 +152,19 @@
 void
 HomeTable::Avoid(const std::string& aInstance, TimePoint aNow)
 {
-  mAvoidUntil[aInstance] = aNow + kAvoidance;
+  Avoidance& avoidance = mAvoided[aInstance];
+  if (avoidance.mUntil > aNow) {
+    // Statements that were sent before it was avoided tell nothing new.
+    return;
+  }
+  avoidance.mPause = std::clamp(avoidance.mPause * 2, kAvoidanceFirst, kAvoidanceMost);
+  avoidance.mUntil = aNow + avoidance.mPause;
 }
 
 void
 HomeTable::OnAnswer(const std::string& aInstance)
 {
-  mAvoidUntil.erase(aInstance);
+  mAvoided.erase(aInstance);
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/hometable.h
+++ b/src/libs/proxy/hometable.h
@@ -74,13 +74,19 @@
   [[nodiscard]] bool IsHomeOfAny(std::span<const std::string> aGroups) const;
 
 private:
+  struct Avoidance
+  {
+    TimePoint mUntil;
+    Duration mPause{};
+  };
+
   [[nodiscard]] const std::vector<std::string>& HomesOf(std::string_view aGroup) const;
 
   std::string mInstance;
   std::string mZone;
   HomeRanking mRanking;
   std::map<std::string, RegisteredInstance, std::less<>> mInstances;
-  std::map<std::string, TimePoint> mAvoidUntil;
+  std::map<std::string, Avoidance> mAvoided;
   /** By group; filled when first asked for. */
   mutable std::map<std::string, std::vector<std::string>, std::less<>> mHomes;
 };
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -2,8 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <optional>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 namespace papayaspindle::proxy {
@@ -15,13 +17,26 @@
 // After the start the other rows appear within this time.
 constexpr Duration kFirstBeats = std::chrono::milliseconds(700);
 constexpr std::uint64_t kFirstBeatCount = 3;
-// Three beats of another instance.
-constexpr Duration kRowLasts = std::chrono::seconds(10);
-
-// Few instances can afford to be exact; many beat less often.
+// Few instances can afford to be exact.
 constexpr std::size_t kManyInstances = 12;
 constexpr Duration kSlowBeat = std::chrono::seconds(10);
-constexpr Duration kSlowRowLasts = std::chrono::seconds(32);
+// Every instance reads every row in each beat; with a beat that grows with their number,
+// an instance reads a fixed number of rows a second (10, about 2 KB).
+constexpr Duration kBeatPerInstance = std::chrono::milliseconds(100);
+// After the start, many instances read all rows twice: most were written before the
+// first, and the rest before the second.
+constexpr Duration kSecondBeat = std::chrono::milliseconds(1500);
+// A row counts for three beats of its writer and a bit.
+constexpr double kBeatsToLast = 3.2;
+
+/** @return pause between the beats of so many instances */
+Duration
+BeatOf(std::size_t aInstances)
+{
+  return aInstances > kManyInstances
+           ? std::max<Duration>(kSlowBeat, kBeatPerInstance * aInstances)
+           : kBeatInterval;
+}
 
 std::string
 EncodeInstance(const RegisteredInstance& aInstance, std::uint64_t aBeat)
@@ -77,11 +92,22 @@
     return;
   }
   mBeats++;
-  const Duration usual = mSeen.size() > kManyInstances ? kSlowBeat : kBeatInterval;
-  mNextBeat = aNow + (mBeats <= kFirstBeatCount ? kFirstBeats : usual);
+  mNextBeat = aNow + NextPause();
   mStore.mRead(kInstanceTable, [this](const ReadResult& aResult) { OnRead(aResult); });
 }
 
+Duration
+InstanceRegistry::NextPause()
+{
+  if (mSeen.size() <= kManyInstances) {
+    return mBeats <= kFirstBeatCount ? kFirstBeats : kBeatInterval;
+  }
+  if (!std::exchange(mHasSeenMany, true)) {
+    return kSecondBeat;
+  }
+  return BeatOf(mSeen.size());
+}
+
 void
 InstanceRegistry::OnRead(const ReadResult& aResult)
 {
@@ -103,7 +129,8 @@
       seen = { row.mRevision, now, *instance };
     }
   }
-  const Duration lasts = mSeen.size() > kManyInstances ? kSlowRowLasts : kRowLasts;
+  const auto lasts =
+    std::chrono::duration_cast<Duration>(BeatOf(mSeen.size()) * kBeatsToLast);
   std::vector<RegisteredInstance> live{ mSelf };
   std::string report;
   for (const auto& [name, seen] : mSeen) {
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -49,6 +49,8 @@
   };
 
   void WriteRow();
+  /** @return pause until the next beat */
+  [[nodiscard]] Duration NextPause();
   void OnRead(const ReadResult& aResult);
 
   RegisteredInstance mSelf;
@@ -61,6 +63,8 @@
   /** What the hook was given last, as text. */
   std::string mReported;
   bool mHasReported = false;
+  /** A read has shown many instances. */
+  bool mHasSeenMany = false;
   TimePoint mNextBeat;
 };
 
--- a/tests/auto/proxy/tst_instances.cpp
+++ b/tests/auto/proxy/tst_instances.cpp
@@ -34,11 +34,13 @@
   std::map<std::string, StoredRow> mRows;
   std::uint64_t mRevision = 0;
   bool mIsAway = false;
+  std::size_t mReads = 0;
 
   SharedStore Store()
   {
     SharedStore store;
     store.mRead = [this](std::string_view, std::function<void(const ReadResult&)> aHook) {
+      mReads++;
       if (mIsAway) {
         aHook(StoreFailure::NoAnswer);
         return;
@@ -107,6 +109,32 @@
   REQUIRE(table.PickHome("group", {}, now + 2s) == home);
 }
 
+// Guards against a dead home that costs a statement each second for as long as its row
+// counts.
+TEST_CASE("a home that stays lost is avoided for longer each time, until it answers")
+{
+  HomeTable table("i1", "zone-1");
+  table.SetInstances(MakeInstances(60));
+  TimePoint now{ 1h };
+  const std::string home = table.PickHome("group", {}, now).value();
+  const auto avoidedFor = [&] {
+    table.Avoid(home, now);
+    table.Avoid(home, now);
+    const TimePoint start = now;
+    while (table.PickHome("group", {}, now) != home) {
+      now += 100ms;
+    }
+    return now - start;
+  };
+  REQUIRE(avoidedFor() == 1s);
+  REQUIRE(avoidedFor() == 2s);
+  REQUIRE(avoidedFor() == 4s);
+  REQUIRE(avoidedFor() == 8s);
+  REQUIRE(avoidedFor() == 8s);
+  table.OnAnswer(home);
+  REQUIRE(avoidedFor() == 1s);
+}
+
 TEST_CASE("a leaving instance is home of nothing")
 {
   auto instances = MakeInstances(60);
@@ -164,6 +192,38 @@
   REQUIRE(count == 1);
 }
 
+// Pattern: hundreds of instances read the rows of all others. At 300 with a fixed beat
+// the reads were most of what the store sent.
+TEST_CASE("the rows that an instance reads in a second don't grow with their number")
+{
+  const auto instances = GENERATE(30U, 100U, 300U, 3000U);
+  CAPTURE(instances);
+  FakeTable table;
+  TimePoint now{ 1h };
+  InstanceRegistry registry(
+    MakeInstances(1)[0],
+    table.Store(),
+    [&] { return now; },
+    [](std::span<const RegisteredInstance>) {});
+  std::size_t rowsRead = 0;
+  const TimePoint start = now;
+  for (std::size_t index = 1; index < instances; index++) {
+    const std::string name = "other-" + std::to_string(index);
+    table.mRows[name] = { std::string(kInstanceTable),
+                          name,
+                          "zone-1 10.0.0.9:7441 1 serving 1",
+                          ++table.mRevision };
+  }
+  while (now - start < 600s) {
+    now = std::max(now + 50ms, registry.NextTimer());
+    const std::size_t before = table.mReads;
+    registry.OnTimer(now);
+    rowsRead += (table.mReads - before) * table.mRows.size();
+  }
+  // 10 rows a second, and three reads after the start.
+  REQUIRE(rowsRead <= 600 * 10 + 3 * instances + instances);
+}
+
 TEST_CASE("unreadable rows name no instance")
 {
   FakeTable table;
