Ask only changed links between instances for output

Cause: each turn of the loop asked the HTTP/2 session of every link for output; an instance has a link for each home and each entry instance that it talks to, and now one more for each other zone. Cancelling a statement looked through all links.

Change: links are marked when they get input or a request; only these are asked. The place of each pending statement is kept.

--- a/src/libs/forwarding/forwardclient.cpp
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -48,6 +48,8 @@
     const auto connected = mLinks.find(aInstance);
     if (connected != mLinks.end()) {
       connected->second.mIsConnected = true;
+      mOpening.erase(aInstance);
+      mChanged.insert(aInstance);
       mHooks.mHeard(aInstance);
     }
   };
@@ -56,6 +58,7 @@
   };
   hooks.mEnded = [this, aInstance](StreamKey) { Drop(aInstance); };
   link.mStream = mStreams.Connect(*address, kLiveness, hooks);
+  mOpening.insert(aInstance);
   return &link;
 }
 
@@ -75,6 +78,8 @@
     return;
   }
   link->mPending.emplace(stream, aOperation);
+  mPlaces[aOperation] = { aInstance, stream };
+  mChanged.insert(aInstance);
 }
 
 void
@@ -84,21 +89,23 @@
   // A connection that is being opened answers by being accepted.
   if (link != nullptr && link->mIsConnected) {
     link->mSession->SubmitPing();
+    mChanged.insert(aInstance);
   }
 }
 
 void
 ForwardClient::Cancel(proxy::OperationKey aOperation)
 {
-  for (auto& [instance, link] : mLinks) {
-    for (const auto& [stream, operation] : link.mPending) {
-      if (operation == aOperation) {
-        link.mSession->CancelRequest(stream);
-        link.mPending.erase(stream);
-        return;
-      }
-    }
+  const auto place = mPlaces.find(aOperation);
+  if (place == mPlaces.end()) {
+    return;
   }
+  const auto [instance, stream] = place->second;
+  mPlaces.erase(place);
+  Link& link = mLinks.at(instance);
+  link.mSession->CancelRequest(stream);
+  link.mPending.erase(stream);
+  mChanged.insert(instance);
 }
 
 void
@@ -112,6 +119,7 @@
   proxy::ForwardedStatement end;
   end.mSession = aSession;
   found->second.mSession->SubmitRequest(kSessionEndMethod, EncodeForwarded(end), "");
+  mChanged.insert(aInstance);
 }
 
 void
@@ -126,6 +134,7 @@
   }
   const proxy::OperationKey operation = pending->second;
   link.mPending.erase(pending);
+  mPlaces.erase(operation);
   std::optional<HomeAnswer> answer =
     IsOk(aReply) ? DecodeAnswer(ValueOf(aReply)) : std::nullopt;
   if (answer) {
@@ -145,6 +154,7 @@
   }
   mHooks.mHeard(aInstance);
   const std::string bytes = std::exchange(aInput, {});
+  mChanged.insert(aInstance);
   if (!found->second.mSession->Receive(bytes)) {
     mStreams.Close(found->second.mStream);
     Drop(aInstance);
@@ -160,6 +170,10 @@
   }
   const Link link = std::move(found->second);
   mLinks.erase(found);
+  mOpening.erase(aInstance);
+  for (const auto& [stream, operation] : link.mPending) {
+    mPlaces.erase(operation);
+  }
   for (const auto& [stream, operation] : link.mPending) {
     mHooks.mFailed(operation, link.mIsConnected, aInstance);
   }
@@ -174,24 +188,33 @@
     mHooks.mFailed(operation, false, instance);
   }
   std::vector<std::string> broken;
-  for (auto& [instance, link] : mLinks) {
-    if (!link.mIsConnected) {
-      if (aNow - link.mOpenedAt > kConnectTimeout) {
-        broken.push_back(instance);
-      }
+  for (const std::string& instance : mOpening) {
+    if (aNow - mLinks.at(instance).mOpenedAt > kConnectTimeout) {
+      broken.push_back(instance);
+    }
+  }
+  for (const std::string& instance : std::exchange(mChanged, {})) {
+    const auto found = mLinks.find(instance);
+    if (found == mLinks.end() || !found->second.mIsConnected) {
+      // A link that is being opened counts as changed once it is.
       continue;
     }
     std::string output;
-    if (!link.mSession->Produce(output, kMaxProduce)) {
+    if (!found->second.mSession->Produce(output, kMaxProduce)) {
       broken.push_back(instance);
+    } else if (output.size() >= kMaxProduce) {
+      mChanged.insert(instance);
     }
     if (!output.empty()) {
-      mStreams.Write(link.mStream, output);
+      mStreams.Write(found->second.mStream, output);
     }
   }
   for (const std::string& instance : broken) {
-    mStreams.Close(mLinks.at(instance).mStream);
-    Drop(instance);
+    const auto found = mLinks.find(instance);
+    if (found != mLinks.end()) {
+      mStreams.Close(found->second.mStream);
+      Drop(instance);
+    }
   }
 }
 
--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -8,7 +8,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 
 namespace papayaspindle {
 
@@ -68,6 +71,12 @@
   StreamTable& mStreams;
   ForwardClientHooks mHooks;
   std::map<std::string, Link> mLinks;
+  /** Where each pending statement is. */
+  std::unordered_map<proxy::OperationKey, std::pair<std::string, std::int32_t>> mPlaces;
+  /** Links that may have output. */
+  std::set<std::string> mChanged;
+  /** Links that are being opened. */
+  std::set<std::string> mOpening;
   /** Failures to report in the next Flush. */
   std::vector<std::pair<proxy::OperationKey, std::string>> mUnsent;
 };
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -49,6 +49,7 @@
   };
   mLinks[aStream].mSession = std::make_unique<Http2Session>(
     Http2Session::Role::Server, kMaxMessage, std::move(http));
+  mChanged.insert(aStream);
 }
 
 void
@@ -59,6 +60,7 @@
     return;
   }
   const std::string bytes = std::exchange(aInput, {});
+  mChanged.insert(aStream);
   if (!found->second.mSession->Receive(bytes)) {
     mStreams.Close(aStream);
     OnEnded(aStream);
@@ -113,6 +115,7 @@
     link->second.mSessions.erase(session.mEntryKey);
     mSessions.erase(found);
   }
+  mChanged.insert(session.mStream);
   link->second.mSession->SubmitReply(session.mRequest,
                                      EncodeAnswer(aAnswer, mHooks.mIsLeaving()));
 }
@@ -136,10 +139,16 @@
 ForwardServer::Flush()
 {
   std::vector<StreamKey> broken;
-  for (auto& [stream, link] : mLinks) {
+  for (const StreamKey stream : std::exchange(mChanged, {})) {
+    const auto found = mLinks.find(stream);
+    if (found == mLinks.end()) {
+      continue;
+    }
     std::string output;
-    if (!link.mSession->Produce(output, kMaxProduce)) {
+    if (!found->second.mSession->Produce(output, kMaxProduce)) {
       broken.push_back(stream);
+    } else if (output.size() >= kMaxProduce) {
+      mChanged.insert(stream);
     }
     if (!output.empty()) {
       mStreams.Write(stream, output);
--- a/src/libs/forwarding/forwardserver.h
+++ b/src/libs/forwarding/forwardserver.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -64,6 +65,8 @@
   std::map<StreamKey, Link> mLinks;
   std::unordered_map<proxy::SessionKey, RemoteSession> mSessions;
   proxy::SessionKey mNextSession;
+  /** Links that may have output. */
+  std::set<StreamKey> mChanged;
 };
 
 } // namespace papayaspindle
