Search for the leader while the named primary can't be reached

Change: members other than an unreachable primary are asked for a sample; the one that leads proves it.

--- a/src/libs/proxy/proxycore_maintenance.cpp
+++ b/src/libs/proxy/proxycore_maintenance.cpp
@@ -122,7 +122,7 @@
     if (!IsUsable(member) || member.mEntry.mDraining) {
       continue;
     }
-    if (!member.mIdle.empty()) {
+    if (!member.mUnreachableSince && !member.mIdle.empty()) {
       const ConnectionKey key = member.mIdle.back();
       member.mIdle.pop_back();
       Sample(member, key, aNow);
@@ -146,7 +146,7 @@
       continue;
     }
     const Member* known = PrimaryMember(group, aNow);
-    if (known == nullptr) {
+    if (known == nullptr || known->mUnreachableSince) {
       SearchLeader(group, aNow);
       continue;
     }
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -107,7 +107,8 @@
                       TimePoint aNow)
 {
   const Member* known = PrimaryMember(aGroup, aNow);
-  if (known == nullptr) {
+  // While the store is away, the directory still names a primary that was replaced.
+  if (known == nullptr || known->mUnreachableSince) {
     SearchLeader(aGroup, aNow);
     return false;
   }
--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -157,3 +157,44 @@
                       fixture.mOpening.end(),
                       [&](const auto& aOpening) { return aOpening.second == member; }));
 }
+
+// Guards against a group that waits for the store although it has a new primary.
+TEST_CASE("a new primary is found while the directory names one that can't be reached")
+{
+  CoreFixture fixture;
+  std::vector<ConnectionKey> lost;
+  for (const auto& [key, member] : fixture.mMemberOf) {
+    if (member == "p") {
+      lost.push_back(key);
+    }
+  }
+  fixture.Advance(100ms);
+  for (const ConnectionKey key : lost) {
+    fixture.mCore.OnConnectionFailed(key, fixture.mNow);
+  }
+  for (const auto& [key, member] : std::exchange(fixture.mOpening, {})) {
+    REQUIRE(member == "p");
+    fixture.mCore.OnConnectionFailed(key, fixture.mNow);
+  }
+  fixture.mSent.clear();
+  fixture.Start(1, "main");
+  fixture.Say(1, StatementKind::Write, "item data");
+  fixture.Advance(100ms);
+  fixture.Advance(100ms);
+  // All others are asked; one of them leads.
+  const std::vector<CoreFixture::Sent> asked = std::exchange(fixture.mSent, {});
+  for (const CoreFixture::Sent& sent : asked) {
+    const bool leads = fixture.MemberOf(sent) == "r1";
+    if (sent.mCommand.mKind == CommandKind::Begin && leads) {
+      fixture.Succeed(sent.mConnection, kUnsigned, TransactionState::Open, { 2, 6 });
+    } else if (sent.mCommand.mKind == CommandKind::Begin) {
+      fixture.Refuse(sent.mConnection, AnswerCode::ReadOnly);
+    } else if (leads) {
+      fixture.Succeed(sent.mConnection, kUnsigned, TransactionState::Idle, { 2, 6 });
+    } else {
+      fixture.Refuse(sent.mConnection, AnswerCode::BadMessage);
+    }
+  }
+  fixture.Advance(100ms);
+  REQUIRE(fixture.MemberOf(fixture.Last(CommandKind::Write)) == "r1");
+}
