Object to doubts about a primary that was replaced already

Cause: at the end of a zone's cut, its instances still take the replaced member for the primary, doubt it, and no other instance objects, as it knows another primary.

Change: an instance with a living primary objects to a doubt about any member of the group; an instance that was cut off waits 1 s before it claims anything.

--- a/src/libs/proxy/promotioncoordinator.cpp
+++ b/src/libs/proxy/promotioncoordinator.cpp
@@ -65,12 +65,16 @@
 PromotionCoordinator::Watch(const std::string& aGroup, GroupRun& aRun, TimePoint aNow)
 {
   const PrimaryHealth health = mHooks.mPrimary(aGroup, aNow);
+  const bool isCutOff = mHooks.mIsCutOff();
+  if (isCutOff) {
+    // After the return, the directory and objections come first.
+    aRun.mClaimAfter = std::max(aRun.mClaimAfter, aNow + kReturnPause);
+  }
   const bool isGone = health.mMember.empty() || !health.mIsListed;
   const bool hasReason = isGone || health.mIsDraining || health.mDownSince;
   // Without a member to promote, before the rows are read, or on the smaller side of a
   // partition, nothing can be done.
-  const bool canPromote =
-    mHasRows && !mHooks.mIsCutOff() && !mHooks.mReplicas(aGroup).empty();
+  const bool canPromote = mHasRows && !isCutOff && !mHooks.mReplicas(aGroup).empty();
   if (!hasReason || !canPromote) {
     aRun.mReasonSince.reset();
     if (canPromote) {
@@ -230,8 +234,8 @@
     const std::string name(*group);
     const PrimaryHealth health = mHooks.mPrimary(name, aNow);
     GroupRun& run = mRuns[name];
-    const bool isAlive = health.mMember == opinion->mMember && !health.mDownSince &&
-                         aNow - health.mLastReply < kAliveEvidence;
+    // Another primary that is alive also shows that the doubted one needs no replacement.
+    const bool isAlive = !health.mDownSince && aNow - health.mLastReply < kAliveEvidence;
     if (isAlive && (run.mHasDoubted || aNow - run.mOpinionAt > kOpinionLasts / 2)) {
       WriteOpinion(name, run, opinion->mMember, true, aNow);
     }
--- a/src/libs/proxy/promotiontimes.h
+++ b/src/libs/proxy/promotiontimes.h
@@ -18,6 +18,9 @@
 constexpr Duration kObjectionTime = 200ms;
 /** The same when no other instance shares the doubt. */
 constexpr Duration kLonelyObjectionTime = 900ms;
+/** Pause after a partition before the instances of the smaller side claim anything: the
+ * directory's feed is back in about half of it. */
+constexpr Duration kReturnPause = 1s;
 /** An opinion counts this long, and is renewed in half of it. */
 constexpr Duration kOpinionLasts = 3s;
 /** An instance that had an answer from the primary within this time objects to doubts. */
--- a/tests/auto/proxy/storeworld.h
+++ b/tests/auto/proxy/storeworld.h
@@ -34,6 +34,8 @@
     /** Is partitioned from most zones and knows it. */
     bool mIsCutOff = false;
     bool mIsFrozen = false;
+    /** Takes this member for the primary, and finds that it doesn't lead. */
+    std::string mOutdatedPrimary;
     std::optional<TimePoint> mDownSince;
   };
 
@@ -248,6 +250,12 @@
       Instance& instance = mInstances[aName];
       PrimaryHealth health;
       health.mMember = mPrimary;
+      if (!instance.mOutdatedPrimary.empty()) {
+        health.mMember = instance.mOutdatedPrimary;
+        health.mIsListed = true;
+        health.mDownSince = mNow - 3s;
+        return health;
+      }
       health.mIsListed = true;
       health.mIsDraining = mPrimaryDrains;
       health.mDownSince = instance.mDownSince;
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -50,6 +50,35 @@
   REQUIRE(world.Promoted().empty());
 }
 
+// Guards against instances of a zone that was cut off: they still take the member for the
+// primary that was replaced meanwhile.
+TEST_CASE("a doubt about a primary that was replaced already is objected to")
+{
+  StoreWorld world(6);
+  world.mPrimary = "r1";
+  world.mInstances["instance-0"].mOutdatedPrimary = "p";
+  world.mInstances["instance-1"].mOutdatedPrimary = "p";
+  world.Run(6s);
+  REQUIRE(world.mAccepted.empty());
+}
+
+TEST_CASE("after a partition the smaller side waits before it claims anything")
+{
+  StoreWorld world(2);
+  for (auto& [name, instance] : world.mInstances) {
+    instance.mIsCutOff = true;
+    instance.mReachesPrimary = false;
+  }
+  world.Run(6s);
+  for (auto& [name, instance] : world.mInstances) {
+    instance.mIsCutOff = false;
+  }
+  world.Run(900ms);
+  REQUIRE(world.mAccepted.empty());
+  world.Run(2s);
+  REQUIRE(world.mAccepted.size() == 1);
+}
+
 TEST_CASE("a lonely instance replaces its primary after the time for objections")
 {
   StoreWorld world(1);
