--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 
-from standin import HOST, FaultProxy, Group, Store
+from standin import HOST, MOST_LINE, FaultProxy, Group, Store
 
 # Promises that nothing of an attempt is kept.
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
@@ -36,8 +36,9 @@
 
 
 class Instance:
-    def __init__(self, binary, directory, name, store_port):
+    def __init__(self, binary, directory, name, store_port, descriptors=1000):
         self.binary, self.directory, self.name = binary, directory, name
+        self.descriptors = descriptors
         base = free_ports(18)
         self.port, self.ready_port, self.metrics_port = base, base + 1, base + 2
         self.proxy = FaultProxy(store_port)
@@ -50,7 +51,7 @@
             "node": self.name, "zone": "z1", "ip": HOST,
             "listen": {"frontend": f"{HOST}:{self.port}", "readiness": f"{HOST}:{self.ready_port}"},
             "internalPorts": [self.metrics_port, self.metrics_port + 15],
-            "limits": {"cpuShare": 1, "memoryMb": 260, "maxFds": 1000},
+            "limits": {"cpuShare": 1, "memoryMb": 260, "maxFds": self.descriptors},
             "bounds": {"graceS": 6, "stabilityWindowMs": 4000},
             "platform": store, "cloudApi": store,
         }
@@ -101,7 +102,7 @@
         self.instance = instance
 
     async def open(self, database):
-        self.reader, self.writer = await asyncio.open_connection(HOST, self.instance.port)
+        self.reader, self.writer = await asyncio.open_connection(HOST, self.instance.port, limit=MOST_LINE)
         self.writer.write(f"START {database} u1\r\n".encode())
         line = await asyncio.wait_for(self.reader.readline(), 3)
         if line.startswith(b"ERROR"):
@@ -187,8 +188,8 @@
 
 
 class System:
-    def __init__(self, binary, instances=3, lag_s=0.05):
-        self.binary, self.lag_s = binary, lag_s
+    def __init__(self, binary, instances=3, lag_s=0.05, descriptors=1000):
+        self.binary, self.lag_s, self.descriptors = binary, lag_s, descriptors
         self.directory = tempfile.mkdtemp(prefix="papayaspindle-e2e-")
         self.names = [f"instance-{n}" for n in range(instances)]
         self.version = 0
@@ -200,7 +201,9 @@
         self.group = Group(self.store, "g1", 3, self.lag_s)
         await self.group.start()
         self.configure()
-        self.instances = [Instance(self.binary, self.directory, n, self.store.port) for n in self.names]
+        self.instances = [
+            Instance(self.binary, self.directory, n, self.store.port, self.descriptors) for n in self.names
+        ]
         for instance in self.instances:
             await instance.prepare()
             await instance.start()
--- a/tests/e2e/standin.py
+++ b/tests/e2e/standin.py
@@ -10,6 +10,8 @@
 import urllib.parse
 
 HOST = "127.0.0.1"
+# Bytes of the longest message of the wire, and some more.
+MOST_LINE = (1 << 20) + 4096
 
 
 class FaultProxy:
@@ -194,7 +196,7 @@
         self.born = int(time.time() * 1000)
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(self._serve, HOST, 0, limit=MOST_LINE)
         self.proxy = FaultProxy(self.server.sockets[0].getsockname()[1])
         await self.proxy.start()
 
