Hold half of the share of a member's connections when unused

Cause: after a loss of power, members count the old connections for about 3 s.

Change: an unused connection beyond half of the share is closed after 250 ms.

--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -274,6 +274,8 @@
   // proxycore_connections.cpp
   /** @return connections to a member that this instance may always hold */
   [[nodiscard]] std::uint32_t BaseShare(const Group& aGroup) const;
+  /** @return connections to a member that this instance holds when they are unused */
+  [[nodiscard]] std::uint32_t HeldShare(const Group& aGroup) const;
   bool MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const;
   void Open(Member& aMember, TimePoint aNow);
   void Send(ConnectionKey aKey,
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -20,6 +20,12 @@
   return std::max(aGroup.mLimits.mMaxConnections / homes, 1U);
 }
 
+std::uint32_t
+ProxyCore::HeldShare(const Group& aGroup) const
+{
+  return std::max(BaseShare(aGroup) / kHeldPart, 1U);
+}
+
 bool
 ProxyCore::MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const
 {
--- a/src/libs/proxy/proxycore_maintenance.cpp
+++ b/src/libs/proxy/proxycore_maintenance.cpp
@@ -20,7 +20,7 @@
       const Duration unused = aNow - mConnections.at(key).mLastUsed;
       const bool isOld = unused > kIdleConnection;
       const bool isExtra =
-        isKept && connections > BaseShare(*group) && unused > kIdleBorrowed;
+        isKept && connections > HeldShare(*group) && unused > kIdleBorrowed;
       const bool isLeaving = isKept && member.mEntry.mDraining && isOld;
       if (!isKept || isExtra || isLeaving) {
         surplus.push_back(key);
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -73,7 +73,11 @@
 constexpr std::uint32_t kBorrowFactor = 2;
 /** After a refusal beyond the base share, no more are opened for this long. */
 constexpr Duration kBorrowPause = 1s;
-/** Connections beyond the base share are given back when unused for this long. */
+/** One in so many connections of the base share is held when unused. After a loss of
+ * power, members still count the old connections for some seconds, and new ones must fit
+ * beside them. */
+constexpr std::uint32_t kHeldPart = 2;
+/** Connections beyond the held share are given back when unused for this long. */
 constexpr Duration kIdleBorrowed = 250ms;
 /** Connections to a leaving member are closed when unused for this long. */
 constexpr Duration kIdleConnection = 3s;
--- a/tests/auto/proxy/tst_proxyoverload.cpp
+++ b/tests/auto/proxy/tst_proxyoverload.cpp
@@ -232,3 +232,37 @@
   }
   REQUIRE_FALSE(fixture.mCore.PrimaryOf("group", fixture.mNow).mIsOverloadedByLag);
 }
+
+// Pattern: all instances lose power. Members count the old connections for seconds, and
+// refused nearly every new one where the share was held unused.
+TEST_CASE("of an instance's share of connections half is held when unused")
+{
+  CoreFixture fixture;
+  // A share of four: 16 connections for four homes.
+  for (SessionKey session = 1; session <= 4; session++) {
+    fixture.Start(session, "main");
+    fixture.Say(session, StatementKind::Begin);
+    fixture.Say(session, StatementKind::Write, "item data");
+    fixture.OpenAll();
+    const auto sent = fixture.Last(CommandKind::Begin);
+    fixture.Succeed(sent.mConnection, kUnsigned, TransactionState::Open);
+    fixture.Succeed(sent.mConnection, "sig", TransactionState::Open);
+  }
+  const auto held = [&] {
+    return std::count_if(
+      fixture.mMemberOf.begin(), fixture.mMemberOf.end(), [&](const auto& aEntry) {
+        const auto& closed = fixture.mClosedConnections;
+        return aEntry.second == "p" &&
+               std::find(closed.begin(), closed.end(), aEntry.first) == closed.end();
+      });
+  };
+  REQUIRE(held() >= 4);
+  for (SessionKey session = 1; session <= 4; session++) {
+    fixture.Say(session, StatementKind::Rollback);
+    fixture.Succeed(fixture.Last(CommandKind::Rollback).mConnection, kUnsigned);
+  }
+  for (int turn = 0; turn < 10; turn++) {
+    fixture.Advance(100ms);
+  }
+  REQUIRE(held() == 2);
+}
