--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -42,91 +42,6 @@
   }
 }
 
-void
-ProxyCore::OnDirectory(std::span<const MemberEntry> aEntries, TimePoint aNow)
-{
-  std::set<std::string_view> listed;
-  for (const MemberEntry& entry : aEntries) {
-    listed.insert(entry.mId);
-    Member& member = mMembers[entry.mId];
-    if (!member.mEntry.mId.empty() && member.mEntry.mGroup != entry.mGroup) {
-      MoveMember(member, aNow);
-    }
-    const bool isNew = member.mEntry.mId.empty();
-    const bool isRestarted = !isNew && member.mEntry.mStartedAtMs != entry.mStartedAtMs;
-    const bool isMoved = !isNew && member.mEntry.mAddress != entry.mAddress;
-    const bool wasPrimary = !isNew && member.mEntry.mRole == MemberRole::Primary;
-    if (isNew || !(member.mEntry == entry) || !member.mIsListed) {
-      mHooks.mLog(
-        LogLevel::Info,
-        "member_changed",
-        { { "member", entry.mId },
-          { "group", entry.mGroup },
-          { "zone", entry.mZone },
-          { "role", entry.mRole == MemberRole::Primary ? "primary" : "replica" },
-          { "draining", entry.mDraining ? "yes" : "no" },
-          { "revision", std::to_string(entry.mRevision) } });
-    }
-    if (entry.mRole == MemberRole::Primary) {
-      if (!wasPrimary || isRestarted) {
-        member.mPrimarySince = entry.mRevision;
-        member.mNotLeadingUntil = {};
-      }
-    } else {
-      member.mPrimarySince = 0;
-    }
-    if (isNew || member.mEntry.mRevision != entry.mRevision) {
-      member.mIsMisrouted = false;
-    }
-    if (isRestarted || isMoved) {
-      member.mOpenAfter = aNow;
-      member.mOpenBackoff = {};
-      member.mLaggingUntil = {};
-      member.mPosition.reset();
-    }
-    if (!entry.mDraining) {
-      member.mDrainingSince.reset();
-    } else if (!member.mDrainingSince) {
-      member.mDrainingSince = aNow;
-    }
-    member.mEntry = entry;
-    member.mIsListed = true;
-    std::vector<std::string>& members = mGroups[entry.mGroup].mMembers;
-    if (std::find(members.begin(), members.end(), entry.mId) == members.end()) {
-      members.push_back(entry.mId);
-    }
-  }
-  for (auto& [id, member] : mMembers) {
-    if (member.mIsListed && !listed.contains(id)) {
-      member.mIsListed = false;
-      member.mPrimarySince = 0;
-      mHooks.mLog(LogLevel::Info,
-                  "member_gone",
-                  { { "member", id }, { "group", member.mEntry.mGroup } });
-    }
-  }
-  for (auto& [name, group] : mGroups) {
-    Dispatch(group, aNow);
-  }
-}
-
-void
-ProxyCore::MoveMember(Member& aMember, TimePoint aNow)
-{
-  // Statements of the old group must not reach the member under its new one.
-  std::vector<ConnectionKey> connections;
-  for (const auto& [key, connection] : mConnections) {
-    if (connection.mMember == aMember.mEntry.mId) {
-      connections.push_back(key);
-    }
-  }
-  aMember.mIsListed = false;
-  std::erase(mGroups[aMember.mEntry.mGroup].mMembers, aMember.mEntry.mId);
-  for (const ConnectionKey key : connections) {
-    OnConnectionFailed(key, aNow);
-  }
-}
-
 void
 ProxyCore::OnHomesChanged(TimePoint aNow)
 {
@@ -159,18 +74,6 @@
               { { "sessions", std::to_string(mSessions.size()) } });
 }
 
-TimePoint
-ProxyCore::MemberHeardAt(std::string_view aZone) const
-{
-  TimePoint heardAt;
-  for (const auto& [id, member] : mMembers) {
-    if (member.mEntry.mZone == aZone) {
-      heardAt = std::max(heardAt, member.mLastReply);
-    }
-  }
-  return heardAt;
-}
-
 TimePoint
 ProxyCore::NextTimer() const
 {
@@ -241,118 +144,6 @@
   return names;
 }
 
-const Member*
-ProxyCore::Claimant(const Group& aGroup, TimePoint aNow) const
-{
-  if (const Member* leading = PrimaryMember(aGroup, aNow)) {
-    return leading;
-  }
-  const Member* claimant = nullptr;
-  for (const std::string& id : aGroup.mMembers) {
-    const Member& member = mMembers.find(id)->second;
-    if (member.mPrimarySince > 0 &&
-        (claimant == nullptr || member.mPrimarySince > claimant->mPrimarySince)) {
-      claimant = &member;
-    }
-  }
-  return claimant;
-}
-
-std::optional<std::string>
-ProxyCore::PrimaryZone(std::string_view aGroup, TimePoint aNow) const
-{
-  const Group* group = FindGroup(aGroup);
-  const Member* claimant = group == nullptr ? nullptr : Claimant(*group, aNow);
-  return claimant == nullptr ? std::nullopt : std::optional(claimant->mEntry.mZone);
-}
-
-PrimaryHealth
-ProxyCore::PrimaryOf(std::string_view aGroup, TimePoint aNow) const
-{
-  PrimaryHealth health;
-  const Group* group = FindGroup(aGroup);
-  if (group == nullptr) {
-    return health;
-  }
-  const Member* claimant = Claimant(*group, aNow);
-  if (claimant == nullptr) {
-    return health;
-  }
-  health.mMember = claimant->mEntry.mId;
-  health.mIsDraining = claimant->mEntry.mDraining;
-  health.mIsListed = claimant->mIsListed;
-  health.mDownSince = claimant->mUnreachableSince;
-  health.mLastReply = claimant->mLastReply;
-  const bool refusesToLead =
-    group->mLeaderlessSince && aNow - *group->mLeaderlessSince > kLeaderlessPatience;
-  if (!health.mDownSince && refusesToLead) {
-    health.mDownSince = group->mLeaderlessSince;
-  }
-  health.mPosition = claimant->mPosition;
-  health.mIsOverloadedByLag = aNow - group->mOverloadedAt < kOverloadSign &&
-                              AllReplicasLag(*group, *claimant, aNow);
-  return health;
-}
-
-bool
-ProxyCore::AllReplicasLag(const Group& aGroup,
-                          const Member& aPrimary,
-                          TimePoint aNow) const
-{
-  bool isAnyLagging = false;
-  for (const std::string& id : aGroup.mMembers) {
-    const Member& member = mMembers.find(id)->second;
-    if (&member == &aPrimary || !IsUsable(member) || member.mEntry.mDraining ||
-        member.mUnreachableSince) {
-      continue;
-    }
-    if (!member.mLaggingSince || aNow - *member.mLaggingSince < kLagPatience) {
-      return false;
-    }
-    isAnyLagging = true;
-  }
-  return isAnyLagging;
-}
-
-std::vector<MemberEntry>
-ProxyCore::ReplicasOf(std::string_view aGroup) const
-{
-  std::vector<MemberEntry> replicas;
-  if (const Group* group = FindGroup(aGroup)) {
-    for (const std::string& id : group->mMembers) {
-      const Member& member = mMembers.find(id)->second;
-      if (member.mIsListed && member.mPrimarySince == 0) {
-        replicas.push_back(member.mEntry);
-      }
-    }
-  }
-  return replicas;
-}
-
-std::uint64_t
-ProxyCore::NewestTerm(std::string_view aGroup) const
-{
-  std::uint64_t term = 0;
-  if (const Group* group = FindGroup(aGroup)) {
-    for (const std::string& id : group->mMembers) {
-      const Member& member = mMembers.find(id)->second;
-      term = std::max(term, member.mPosition ? member.mPosition->mTerm : 0);
-    }
-  }
-  return term;
-}
-
-void
-ProxyCore::ExpectPrimary(std::string_view aGroup, std::string_view aMember, TimePoint)
-{
-  mHooks.mLog(LogLevel::Info,
-              "primary_expected",
-              { { "group", std::string(aGroup) }, { "member", std::string(aMember) } });
-  if (Member* member = FindMember(aMember)) {
-    member->mNotLeadingUntil = {};
-  }
-}
-
 Group*
 ProxyCore::FindGroup(std::string_view aName)
 {
@@ -380,28 +171,6 @@
   return aMember.mIsListed && !aMember.mIsMisrouted;
 }
 
-const Member*
-ProxyCore::PrimaryMember(const Group& aGroup, TimePoint aNow) const
-{
-  // A recent proof counts more than the directory, which lags.
-  if (aNow - aGroup.mProvenAt < kProofLasts) {
-    const auto proven = mMembers.find(aGroup.mProvenPrimary);
-    if (proven != mMembers.end() && IsUsable(proven->second) &&
-        proven->second.mNotLeadingUntil <= aNow) {
-      return &proven->second;
-    }
-  }
-  const Member* primary = nullptr;
-  for (const std::string& id : aGroup.mMembers) {
-    const Member& member = mMembers.find(id)->second;
-    if (member.mPrimarySince > 0 && IsUsable(member) && member.mNotLeadingUntil <= aNow &&
-        (primary == nullptr || member.mPrimarySince > primary->mPrimarySince)) {
-      primary = &member;
-    }
-  }
-  return primary;
-}
-
 std::string
 ProxyCore::PreparedName(PreparedKind aKind, const std::string& aShape)
 {
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -135,7 +135,7 @@
     TimePoint mSince;
   };
 
-  // proxycore_sessions.cpp
+  // proxycore_sessionlife.cpp
   void RefuseSession(SessionKey aSession,
                      std::string_view aDatabase,
                      AnswerCode aCode,
@@ -144,6 +144,10 @@
   void AdmitEarlySessions(TimePoint aNow);
   /** Ends the operation of a session whose client has left. */
   void AbandonOperation(OperationKey aKey, Session& aSession);
+  /** Closes a session that a stop or a partition no longer lets this instance serve. */
+  void CloseIfLeft(SessionKey aKey, TimePoint aNow);
+
+  // proxycore_sessions.cpp
   void Handle(SessionKey aKey, Session& aSession, Statement aStatement, TimePoint aNow);
   void HandleLocal(SessionKey aKey, Session& aSession, const Statement& aStatement);
   void HandleBegin(SessionKey aKey, Session& aSession, bool aMayWrite);
@@ -161,8 +165,6 @@
                    std::string_view aText);
   void AnswerDone(SessionKey aKey, Session& aSession);
   void RunBacklog(SessionKey aKey, TimePoint aNow);
-  /** Closes a session that a stop or a partition no longer lets this instance serve. */
-  void CloseIfLeft(SessionKey aKey, TimePoint aNow);
   /** Ends the session's hold on its transaction's connection. */
   void ReleaseTransaction(SessionKey aKey, Session& aSession, TimePoint aNow);
   void AbortTransaction(SessionKey aKey,
@@ -303,22 +305,24 @@
   void RunStatusQueries(TimePoint aNow);
   void FinishStatusQuery(std::size_t aIndex, const std::optional<MemberReply>& aReply);
 
-  // proxycore.cpp
-  /** @return shortest latency objective of the group's routes */
-  [[nodiscard]] Duration ShortestObjective(std::string_view aGroup) const;
+  // proxycore_members.cpp
   /** Takes a member out of its group because its entry names another one. */
   void MoveMember(Member& aMember, TimePoint aNow);
-  void MaintainSessions(TimePoint aNow);
   /** @return whether the group has replicas, and none was fresh enough for some time */
   [[nodiscard]] bool AllReplicasLag(const Group& aGroup,
                                     const Member& aPrimary,
                                     TimePoint aNow) const;
   /** @return the member that leads the group, or else the newest that says so */
   [[nodiscard]] const Member* Claimant(const Group& aGroup, TimePoint aNow) const;
+  [[nodiscard]] const Member* PrimaryMember(const Group& aGroup, TimePoint aNow) const;
+
+  // proxycore.cpp
+  /** @return shortest latency objective of the group's routes */
+  [[nodiscard]] Duration ShortestObjective(std::string_view aGroup) const;
+  void MaintainSessions(TimePoint aNow);
   Group* FindGroup(std::string_view aName);
   [[nodiscard]] const Group* FindGroup(std::string_view aName) const;
   Member* FindMember(std::string_view aId);
-  [[nodiscard]] const Member* PrimaryMember(const Group& aGroup, TimePoint aNow) const;
   [[nodiscard]] bool IsUsable(const Member& aMember) const;
   std::string PreparedName(PreparedKind aKind, const std::string& aShape);
 
--- /dev/null
+++ b/src/libs/proxy/proxycore_sessionlife.cpp
@@ -0,0 +1,134 @@
+#include "proxy/proxycore.h"
+#include "proxy/proxytimes.h"
+
+#include <utility>
+
+namespace papayaspindle::proxy {
+
+void
+ProxyCore::OnSessionOpened(SessionKey aSession,
+                           std::string_view aDatabase,
+                           TimePoint aNow)
+{
+  if (!HasConfiguration()) {
+    mEarlySessions[aSession] = { std::string(aDatabase), aNow };
+    return;
+  }
+  if (!mConfiguration.mRoutes.contains(std::string(aDatabase))) {
+    RefuseSession(
+      aSession, aDatabase, AnswerCode::UnknownDatabase, "no route for the database");
+    return;
+  }
+  Session session;
+  session.mDatabase = aDatabase;
+  session.mOpenedAt = aNow;
+  session.mLastActivity = aNow;
+  mSessions.emplace(aSession, std::move(session));
+  mHooks.mWelcome(aSession);
+}
+
+void
+ProxyCore::RefuseSession(SessionKey aSession,
+                         std::string_view aDatabase,
+                         AnswerCode aCode,
+                         std::string_view aWhy)
+{
+  mHooks.mLog(LogLevel::Info,
+              "session_refused",
+              { { "database", std::string(aDatabase) },
+                { "reason", std::string(aWhy) },
+                { "version", std::to_string(mConfiguration.mVersion) } });
+  ClientAnswer refusal;
+  refusal.mError = aCode;
+  refusal.mText = aWhy;
+  mHooks.mAnswer(aSession, refusal);
+  mHooks.mCloseSession(aSession);
+}
+
+void
+ProxyCore::AdmitEarlySessions(TimePoint aNow)
+{
+  for (const auto& [key, early] : std::exchange(mEarlySessions, {})) {
+    if (HasConfiguration()) {
+      OnSessionOpened(key, early.mDatabase, aNow);
+    } else if (aNow - early.mSince < kConfigurationPatience) {
+      mEarlySessions.emplace(key, early);
+    } else {
+      RefuseSession(key, early.mDatabase, AnswerCode::Busy, "no configuration yet");
+    }
+  }
+}
+
+void
+ProxyCore::OnSessionClosed(SessionKey aSession, TimePoint aNow)
+{
+  mEarlySessions.erase(aSession);
+  const auto found = mSessions.find(aSession);
+  if (found == mSessions.end()) {
+    return;
+  }
+  Session& session = found->second;
+  if (session.mOperation) {
+    AbandonOperation(*session.mOperation, session);
+  }
+  ReleaseTransaction(aSession, session, aNow);
+  mSessions.erase(found);
+}
+
+void
+ProxyCore::AbandonOperation(OperationKey aKey, Session& aSession)
+{
+  const Operation& operation = mOperations.at(aKey);
+  if (operation.mStage == OperationStage::Forwarded) {
+    mHooks.mCancelForward(aKey);
+    RemoveOperation(aKey);
+    return;
+  }
+  const bool isUnderWay = operation.mStage != OperationStage::Waiting;
+  if (isUnderWay && !aSession.mTransaction && !operation.mIsWrapped) {
+    // It keeps its connection until the answer, which nobody waits for.
+    return;
+  }
+  const std::optional<ConnectionKey> connection = operation.mConnection;
+  RemoveOperation(aKey);
+  if (connection) {
+    Discard(*connection);
+    if (aSession.mTransaction) {
+      aSession.mTransaction->mConnection.reset();
+    }
+  }
+}
+
+void
+ProxyCore::CloseIfLeft(SessionKey aKey, TimePoint aNow)
+{
+  const auto found = mSessions.find(aKey);
+  if ((!mDrainStart && !mCutOffSince) || found == mSessions.end()) {
+    return;
+  }
+  const Session& session = found->second;
+  const bool isAtRest = session.mState == TransactionState::Idle && !session.mOperation;
+  // Clients that came back after the notice find no better instance.
+  const bool isCutOff = mCutOffSince && aNow - *mCutOffSince >= kReadinessNotice &&
+                        session.mOpenedAt < *mCutOffSince + kReadinessNotice;
+  if (isCutOff && isAtRest && !session.mIsForwarded) {
+    mHooks.mCloseSession(aKey);
+    OnSessionClosed(aKey, aNow);
+    return;
+  }
+  if (!mDrainStart) {
+    return;
+  }
+  const Duration passed = aNow - *mDrainStart;
+  const bool isTransactionAtRest =
+    session.mState != TransactionState::Idle && !session.mOperation;
+  const bool mayClose = (isAtRest && passed >= kReadinessNotice) ||
+                        (isTransactionAtRest && passed >= mSettings.mGrace / 2) ||
+                        passed >= mSettings.mGrace - kDrainMargin;
+  if (mayClose) {
+    mHooks.mCloseSession(aKey);
+    OnSessionClosed(aKey, aNow);
+  }
+}
+
+} // namespace papayaspindle::proxy
