--- a/tests/auto/proxy/memberworld.h
+++ b/tests/auto/proxy/memberworld.h
@@ -443,8 +443,8 @@
     }
     for (auto& [id, member] : mMembers) {
       if (id != aConnection.mMember) {
-        At(mNow + Delay(200), [&member, position = mCommitted] {
-          member.mApplied = std::max(member.mApplied, position);
+        At(mNow + Delay(200), [&replica = member, position = mCommitted] {
+          replica.mApplied = std::max(replica.mApplied, position);
         });
       }
     }
