Read leadership rows of versions without reservations

Cause: found while reading the change: a row that an earlier version has left in the store has three words, was taken for unreadable, and its group could not be promoted after an upgrade.

Change: three words are read as a promotion. The test fails without it.

--- a/src/libs/proxy/coordinationrows.cpp
+++ b/src/libs/proxy/coordinationrows.cpp
@@ -73,7 +73,10 @@
 {
   const std::vector<std::string_view> words = Words(aText);
   LeadershipRow row;
-  if (words.size() != 4 || (words[3] != kPromotion && words[3] != kReservation)) {
+  // Rows of versions without reservations have three words.
+  const std::string_view purpose = words.size() == 4 ? words[3] : kPromotion;
+  if (words.size() < 3 || words.size() > 4 ||
+      (purpose != kPromotion && purpose != kReservation)) {
     return std::nullopt;
   }
   const char* end = words[0].data() + words[0].size();
@@ -83,8 +86,8 @@
   }
   row.mHolder = words[1];
   row.mMember = words[2];
-  row.mPurpose = words[3] == kPromotion ? LeadershipPurpose::Promotion
-                                        : LeadershipPurpose::Reservation;
+  row.mPurpose =
+    purpose == kPromotion ? LeadershipPurpose::Promotion : LeadershipPurpose::Reservation;
   return row;
 }
 
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -300,6 +300,15 @@
   REQUIRE(next->mHolder != first->mHolder);
 }
 
+// Guards against groups that can't be promoted any more after an upgrade.
+TEST_CASE("a leadership row of a version without reservations is read as a promotion")
+{
+  const auto row = DecodeLeadership("7 holder member");
+  REQUIRE(row);
+  REQUIRE(row->mToken == 7);
+  REQUIRE(row->mPurpose == LeadershipPurpose::Promotion);
+}
+
 TEST_CASE("coordination rows survive their encoding, and other text is refused")
 {
   const auto row = DecodeLeadership(
