--- a/tests/auto/proxy/memberworld.h
+++ b/tests/auto/proxy/memberworld.h
@@ -3,7 +3,6 @@
 #include "proxy/proxycore.h"
 
 #include <algorithm>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -164,7 +163,6 @@
     std::optional<SessionKey> mOwner;
     std::vector<std::string> mPending;
     TimePoint mFreeAt;
-    std::deque<MemberReply> mHeld;
   };
 
   using Key = std::pair<std::size_t, ConnectionKey>;
