Permit one leader at a time where the platform ends nobody's lead

Cause: with fencingEnforced false a replaced primary goes on answering. BEGIN, a write and a sample of its position counted as proof of the lead, and reserved tokens could reach the platform after higher ones.

Change: an instance acknowledges commits of the leader, sends it statements and takes samples only with a permission (LeaderLeases) that ends 1.2 s after its proof was asked for. Proofs are a read of the leadership rows without a newer claim and, while the last permission holds, a follower that isn't paused, so permissions outlast an outage of the store by up to 8 s. A claim ends the old lead before the call (LeadershipTransfer): a leader that answers steps down, and the replica that has received all its commits is promoted; otherwise all followers are paused for a whole permission. The row names the member before it is called, so that a late call is never followed by one for another member. Where the platform fences, permissions are not needed and reserved tokens stay as they were.

What it costs: 1.2 s more until a dead primary is replaced, 8 s where a follower is silent, too.

--- a/src/libs/proxy/coordinationrows.cpp
+++ b/src/libs/proxy/leadership/coordinationrows.cpp
@@ -1,7 +1,9 @@
-#include "proxy/coordinationrows.h"
+#include "proxy/leadership/coordinationrows.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <vector>
 
@@ -11,8 +13,13 @@
 
 constexpr std::string_view kLeadershipPrefix = "leadership/";
 constexpr std::string_view kOpinionPrefix = "opinion/";
-constexpr std::string_view kPromotion = "promotion";
-constexpr std::string_view kReservation = "reservation";
+/** Words of the states, in the order of LeadershipState. */
+constexpr std::array<std::string_view, 4> kStateWords{ "promotion",
+                                                       "calling",
+                                                       "settled",
+                                                       "reservation" };
+constexpr std::size_t kRowWords = 5;
+constexpr std::size_t kFewestRowWords = 3;
 
 std::vector<std::string_view>
 Words(std::string_view aText)
@@ -41,6 +48,15 @@
   return fmt::format("{}{}/{}", kOpinionPrefix, aGroup, aInstance);
 }
 
+std::optional<std::string_view>
+GroupOfLeadership(std::string_view aKey)
+{
+  if (!aKey.starts_with(kLeadershipPrefix)) {
+    return std::nullopt;
+  }
+  return aKey.substr(kLeadershipPrefix.size());
+}
+
 std::optional<std::string_view>
 GroupOfOpinion(std::string_view aKey)
 {
@@ -54,12 +70,12 @@
 std::string
 Encode(const LeadershipRow& aRow)
 {
-  return fmt::format("{} {} {} {}",
+  return fmt::format("{} {} {} {} {}",
                      aRow.mToken,
                      aRow.mHolder,
                      aRow.mMember,
-                     aRow.mPurpose == LeadershipPurpose::Promotion ? kPromotion
-                                                                   : kReservation);
+                     kStateWords[static_cast<std::size_t>(aRow.mState)],
+                     aRow.mLeader);
 }
 
 std::string
@@ -72,13 +88,11 @@
 DecodeLeadership(std::string_view aText)
 {
   const std::vector<std::string_view> words = Words(aText);
-  LeadershipRow row;
-  // Rows of versions without reservations have three words.
-  const std::string_view purpose = words.size() == 4 ? words[3] : kPromotion;
-  if (words.size() < 3 || words.size() > 4 ||
-      (purpose != kPromotion && purpose != kReservation)) {
+  // Rows of older versions have no leader, and the oldest ones no state.
+  if (words.size() < kFewestRowWords || words.size() > kRowWords) {
     return std::nullopt;
   }
+  LeadershipRow row;
   const char* end = words[0].data() + words[0].size();
   const auto parsed = std::from_chars(words[0].data(), end, row.mToken);
   if (parsed.ec != std::errc() || parsed.ptr != end) {
@@ -86,8 +100,16 @@
   }
   row.mHolder = words[1];
   row.mMember = words[2];
-  row.mPurpose =
-    purpose == kPromotion ? LeadershipPurpose::Promotion : LeadershipPurpose::Reservation;
+  if (words.size() > kFewestRowWords) {
+    const auto state = std::find(kStateWords.begin(), kStateWords.end(), words[3]);
+    if (state == kStateWords.end()) {
+      return std::nullopt;
+    }
+    row.mState = static_cast<LeadershipState>(std::distance(kStateWords.begin(), state));
+  }
+  if (words.size() == kRowWords) {
+    row.mLeader = words[4];
+  }
   return row;
 }
 
--- /dev/null
+++ b/src/libs/proxy/leadership/leaderleases.cpp
@@ -0,0 +1,122 @@
+#include "proxy/leadership/leaderleases.h"
+
+#include "proxy/leadership/coordinationrows.h"
+#include "proxy/leadership/leasetimes.h"
+
+#include <algorithm>
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+/** @return the leader that a row permits; empty for none, nothing where it isn't known */
+std::optional<std::string>
+PermittedLeader(const std::string& aText)
+{
+  const auto row = DecodeLeadership(aText);
+  // A row that can't be read may be a claim.
+  if (!row || row->mState == LeadershipState::Claimed) {
+    return std::string();
+  }
+  return row->mLeader == "-" ? std::nullopt : std::optional(row->mLeader);
+}
+
+} // namespace
+
+LeaderLeases::LeaderLeases(LeadEndedBy aEndedBy)
+  : mEndedBy(aEndedBy)
+{
+}
+
+void
+LeaderLeases::OnRows(std::span<const StoredRow> aRows)
+{
+  mHasRows = true;
+  for (const StoredRow& row : aRows) {
+    const auto group = GroupOfLeadership(row.mKey);
+    if (!group) {
+      continue;
+    }
+    Lease& lease = mLeases[std::string(*group)];
+    // A feed and a read may bring the same change in either order.
+    if (row.mRevision <= lease.mRevision) {
+      continue;
+    }
+    lease.mRevision = row.mRevision;
+    lease.mLeader = PermittedLeader(row.mValue);
+    lease.mFollowersUntil = {};
+  }
+}
+
+void
+LeaderLeases::OnStoreRead(TimePoint aSentAt)
+{
+  mStoreReadAt = std::max(mStoreReadAt, aSentAt);
+  OnStoreContact(aSentAt);
+}
+
+void
+LeaderLeases::OnStoreContact(TimePoint aAt)
+{
+  mStoreContactAt = std::max(mStoreContactAt, aAt);
+}
+
+void
+LeaderLeases::OnFollowerStatus(std::string_view aGroup,
+                               const MemberStatus& aStatus,
+                               TimePoint aAskedAt,
+                               TimePoint aNow)
+{
+  const auto found = mLeases.find(aGroup);
+  Lease& lease = found == mLeases.end() ? mLeases[std::string(aGroup)] : found->second;
+  const bool isFollowing = aStatus.mRole == MemberRole::Replica && aStatus.mHeldTerm == 0;
+  if (!isFollowing) {
+    // Another instance claims the lead.
+    lease.mFollowersUntil = {};
+    return;
+  }
+  const bool isUnbroken = aNow <= EndOf(aGroup) && aNow <= FollowersCountUntil();
+  if (isUnbroken) {
+    lease.mFollowersUntil = std::min(
+      std::max(lease.mFollowersUntil, aAskedAt + kLeaderLease), FollowersCountUntil());
+  }
+}
+
+TimePoint
+LeaderLeases::FollowersCountUntil() const
+{
+  return mStoreContactAt + kFollowerLimit;
+}
+
+TimePoint
+LeaderLeases::EndOf(std::string_view aGroup) const
+{
+  if (!mHasRows) {
+    return {};
+  }
+  const TimePoint byStore = mStoreReadAt + kLeaderLease;
+  const auto found = mLeases.find(aGroup);
+  return found == mLeases.end() ? byStore
+                                : std::max(byStore, found->second.mFollowersUntil);
+}
+
+std::optional<std::string>
+LeaderLeases::Leader(std::string_view aGroup) const
+{
+  const auto found = mLeases.find(aGroup);
+  return found == mLeases.end() ? std::nullopt : found->second.mLeader;
+}
+
+bool
+LeaderLeases::Permits(std::string_view aGroup,
+                      std::string_view aMember,
+                      TimePoint aNow) const
+{
+  if (!AreNeeded()) {
+    return true;
+  }
+  const std::optional<std::string> leader = Leader(aGroup);
+  return (!leader || *leader == aMember) && aNow <= EndOf(aGroup);
+}
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -1,7 +1,7 @@
-#include "proxy/promotioncoordinator.h"
+#include "proxy/leadership/promotioncoordinator.h"
 
 #include "core/stablehash.h"
-#include "proxy/promotiontimes.h"
+#include "proxy/leadership/promotiontimes.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,9 +9,11 @@
 namespace papayaspindle::proxy {
 
 PromotionCoordinator::PromotionCoordinator(std::string aInstance,
+                                           LeadEndedBy aEndedBy,
                                            SharedStore aStore,
                                            PromotionHooks aHooks)
   : mInstance(std::move(aInstance))
+  , mEndedBy(aEndedBy)
   , mStore(std::move(aStore))
   , mHooks(std::move(aHooks))
 {
@@ -29,6 +31,7 @@
     }
   }
   mHasRows = true;
+  AdoptOwnRows(aNow);
   ObjectToDoubts(aNow);
   mNextCheck = aNow;
 }
@@ -40,6 +43,13 @@
   return found == mRows.end() ? nullptr : &found->second;
 }
 
+std::optional<LeadershipRow>
+PromotionCoordinator::Leadership(const std::string& aGroup) const
+{
+  const SeenRow* seen = Find(LeadershipKey(aGroup));
+  return seen == nullptr ? std::nullopt : DecodeLeadership(seen->mRow.mValue);
+}
+
 void
 PromotionCoordinator::OnTimer(TimePoint aNow)
 {
@@ -51,9 +61,12 @@
     GroupRun& run = mRuns[group];
     if (run.mPhase == Phase::Watching) {
       Watch(group, run, aNow);
+    } else if (run.mTransfer) {
+      OnTransferTimer(group, run, aNow);
     } else if (run.mPhase == Phase::Choosing && aNow >= run.mChoiceDeadline) {
       FinishChoice(group, run, aNow);
-    } else if (run.mPhase == Phase::Promoting && !run.mIsCalling && aNow >= run.mCallAt) {
+    }
+    if (run.mPhase == Phase::Promoting && !run.mIsCalling && aNow >= run.mCallAt) {
       Call(group, run, aNow);
     }
     isActive = isActive || run.mPhase != Phase::Watching || run.mReasonSince;
@@ -75,11 +88,16 @@
   // Without a member to promote, before the rows are read, or on the smaller side of a
   // partition, nothing can be done.
   const bool canPromote = mHasRows && !isCutOff && !mHooks.mReplicas(aGroup).empty();
+  if (canPromote && NeedsTransfer() && WatchLeftClaim(aGroup, aRun, aNow)) {
+    return;
+  }
   if (!hasReason || !canPromote) {
     aRun.mReasonSince.reset();
     if (canPromote) {
       WatchLag(aGroup, aRun, health, aNow);
-      WatchReservation(aGroup, aRun, aNow);
+      if (!NeedsTransfer()) {
+        WatchReservation(aGroup, aRun, aNow);
+      }
     }
     return;
   }
@@ -110,7 +128,8 @@
       IsConfirmedDown(aGroup, aRun, health, aNow)) {
     aRun.mReplaced = health.mMember;
     Claim(aGroup, aRun, "unreachable", aNow);
-  } else if (aRun.mStoreAwaySince && aNow - *aRun.mReasonSince >= kStoreAwayPatience &&
+  } else if (!NeedsTransfer() && aRun.mStoreAwaySince &&
+             aNow - *aRun.mReasonSince >= kStoreAwayPatience &&
              HasReservedToken(aGroup, aRun)) {
     // Nobody's objections can be read, and nobody else can take a token.
     aRun.mReplaced = health.mMember;
@@ -128,7 +147,7 @@
     return false;
   }
   const auto row = DecodeLeadership(seen->mRow.mValue);
-  return !row || row->mPurpose == LeadershipPurpose::Promotion;
+  return !row || row->mState != LeadershipState::Reserved;
 }
 
 Duration
@@ -250,7 +269,7 @@
 {
   aRun.mPhase = Phase::Claiming;
   aRun.mReason = aReason;
-  WriteClaim(aGroup, aRun, LeadershipPurpose::Promotion, aNow);
+  WriteClaim(aGroup, aRun, LeadershipState::Claimed, aNow);
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -2,10 +2,12 @@
 
 #include "core/timetypes.h"
 #include "observe/log.h"
-#include "proxy/coordinationrows.h"
+#include "proxy/leadership/coordinationrows.h"
+#include "proxy/leadership/leaderleases.h"
+#include "proxy/leadership/leadershiptransfer.h"
+#include "proxy/leadership/primaryhealth.h"
 #include "proxy/membercommand.h"
 #include "proxy/memberentry.h"
-#include "proxy/primaryhealth.h"
 #include "proxy/rowstore.h"
 
 #include <cstdint>
@@ -28,6 +30,8 @@
   std::function<PrimaryHealth(std::string_view aGroup, TimePoint)> mPrimary;
   /** Listed members of a group that don't lead. */
   std::function<std::vector<MemberEntry>(std::string_view aGroup)> mReplicas;
+  /** All listed members of a group. */
+  std::function<std::vector<MemberEntry>(std::string_view aGroup)> mMembers;
   /** Newest term that was seen in a group. */
   std::function<std::uint64_t(std::string_view aGroup)> mNewestTerm;
   /** Whether this instance is partitioned from most zones: what it finds down may be up.
@@ -57,14 +61,18 @@
  * object. The first to find the primary down takes the next fencing token by a
  * conditional write, chooses the replica that received most, and calls the platform.
  *
- * A home holds some tokens in reserve for each group, so that it can replace a primary
- * while the store is away. The platform refuses a token once it has seen a newer one.
- * Single-threaded.
+ * Where the platform ends the lead of a replaced primary, a home holds some tokens in
+ * reserve for each group, so that it can replace a primary while the store is away; the
+ * platform refuses a token once it has seen a newer one. Elsewhere a LeadershipTransfer
+ * ends the old lead between the claim and the call. Single-threaded.
  */
 class PromotionCoordinator
 {
 public:
-  PromotionCoordinator(std::string aInstance, SharedStore aStore, PromotionHooks aHooks);
+  PromotionCoordinator(std::string aInstance,
+                       LeadEndedBy aEndedBy,
+                       SharedStore aStore,
+                       PromotionHooks aHooks);
 
   /** Takes all rows of the coordination table as they are now. */
   void OnRows(std::span<const StoredRow> aRows, TimePoint aNow);
@@ -78,8 +86,10 @@
     Watching,
     /** The conditional write of the leadership row is under way. */
     Claiming,
-    /** Replicas are asked for what they received. */
+    /** Replicas are asked for what they received, and the old lead is ended. */
     Choosing,
+    /** The row with the chosen member is written. */
+    Announcing,
     /** The platform is called. */
     Promoting,
   };
@@ -122,6 +132,23 @@
     std::uint32_t mCalls = 0;
     TimePoint mCallAt = TimePoint::max();
     bool mIsCalling = false;
+    /** Ends the old lead; only where nobody else does. */
+    std::optional<LeadershipTransfer> mTransfer;
+    /** Member that an unanswered call of an earlier claim may still promote, or "-". */
+    std::string mPending = "-";
+    /** The row that is being written. */
+    std::optional<LeadershipRow> mAwaited;
+    /** Revision and time of this run's last written row. */
+    std::uint64_t mRowRevision = 0;
+    TimePoint mRowAt;
+    TimePoint mRowSentAt;
+    /** When a row that was not written is tried again. */
+    TimePoint mRowRetryAt;
+    /** An unanswered call may still promote mTarget. */
+    bool mMayHaveCalled = false;
+    /** The old leader has stepped down, or its successor can't lead: another member has
+     * to be promoted. */
+    bool mNeedsLeader = false;
     /** Members that refused a promotion, and until when they are left out. */
     std::map<std::string, TimePoint> mRefused;
     /** When this instance reserves tokens unless another one does. */
@@ -155,10 +182,10 @@
   /** Writes the group's leadership row; the tokens are this process's once it is done. */
   void WriteClaim(const std::string& aGroup,
                   GroupRun& aRun,
-                  LeadershipPurpose aPurpose,
+                  LeadershipState aState,
                   TimePoint aNow);
   void OnClaimWritten(const std::string& aGroup,
-                      LeadershipPurpose aPurpose,
+                      LeadershipState aState,
                       const LeadershipRow& aClaim,
                       const WriteResult& aResult);
   /** @return whether reserved tokens are left and no other instance is known to have
@@ -206,8 +233,39 @@
   void ResumeCandidates(GroupRun& aRun, TimePoint aNow);
   void Abandon(GroupRun& aRun, Duration aPause, TimePoint aNow);
   [[nodiscard]] const SeenRow* Find(const std::string& aKey) const;
+  /** @return the newest row of the group's leadership, or nothing */
+  [[nodiscard]] std::optional<LeadershipRow> Leadership(const std::string& aGroup) const;
+  /** @return whether instances have to end the lead of a replaced primary */
+  [[nodiscard]] bool NeedsTransfer() const { return mEndedBy == LeadEndedBy::Instances; }
+
+  // promotioncoordinator_transfer.cpp
+  /** Ends a claim that its holder has left. @return whether the group has one */
+  bool WatchLeftClaim(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  void StartTransfer(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  void SendAll(const std::string& aGroup,
+               GroupRun& aRun,
+               const std::vector<TransferCommand>& aCommands,
+               TimePoint aNow);
+  /** Goes on with a transfer that may have ended. */
+  void FollowTransfer(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  /** Checks a transfer and what is written for it. */
+  void OnTransferTimer(const std::string& aGroup, GroupRun& aRun, TimePoint aNow);
+  /** Writes the group's row on top of this run's last one. */
+  void WriteLeadership(const std::string& aGroup,
+                       GroupRun& aRun,
+                       const LeadershipRow& aRow,
+                       TimePoint aNow);
+  void OnLeadershipWritten(const std::string& aGroup,
+                           const LeadershipRow& aRow,
+                           const WriteResult& aResult,
+                           TimePoint aNow);
+  /** Takes rows of this instance whose writes were not answered for written. */
+  void AdoptOwnRows(TimePoint aNow);
+  /** Ends a transfer that promotes nobody. */
+  void GiveUpTransfer(GroupRun& aRun, TimePoint aNow);
 
   std::string mInstance;
+  LeadEndedBy mEndedBy;
   SharedStore mStore;
   PromotionHooks mHooks;
   std::map<std::string, GroupRun> mRuns;
--- a/src/libs/proxy/promotioncoordinator_claims.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
@@ -1,6 +1,6 @@
 #include "core/stablehash.h"
-#include "proxy/promotioncoordinator.h"
-#include "proxy/promotiontimes.h"
+#include "proxy/leadership/promotioncoordinator.h"
+#include "proxy/leadership/promotiontimes.h"
 
 namespace papayaspindle::proxy {
 
@@ -19,7 +19,7 @@
 void
 PromotionCoordinator::WriteClaim(const std::string& aGroup,
                                  GroupRun& aRun,
-                                 LeadershipPurpose aPurpose,
+                                 LeadershipState aState,
                                  TimePoint aNow)
 {
   const std::string key = LeadershipKey(aGroup);
@@ -33,14 +33,21 @@
       return;
     }
     claim.mToken = current->mToken;
+    const bool isCalled = current->mState == LeadershipState::Calling ||
+                          current->mState == LeadershipState::Claimed;
+    claim.mLeader = isCalled ? current->mLeader : "-";
   }
   const std::uint64_t first = claim.mToken + 1;
   claim.mToken = first + kReservedTokens;
   claim.mHolder = mInstance;
   claim.mMember = aRun.mReplaced.empty() ? "-" : aRun.mReplaced;
-  claim.mPurpose = aPurpose;
+  claim.mState = aState;
   aRun.mRun++;
-  const bool isPromotion = aPurpose == LeadershipPurpose::Promotion;
+  const bool isPromotion = aState == LeadershipState::Claimed;
+  if (isPromotion && NeedsTransfer()) {
+    aRun.mAwaited = claim;
+    aRun.mRowSentAt = aNow;
+  }
   mHooks.mLog(LogLevel::Info,
               isPromotion ? "promotion_claimed" : "tokens_reserved",
               { { "group", aGroup },
@@ -55,17 +62,17 @@
   row.mRevision = seen == nullptr ? 0 : seen->mRow.mRevision;
   mStore.mWrite(
     { row },
-    [this, aGroup, aPurpose, claim, number = aRun.mRun](const WriteResult& aResult) {
+    [this, aGroup, aState, claim, number = aRun.mRun](const WriteResult& aResult) {
       // An answer to an abandoned claim gives nothing: its tokens are never used.
       if (mRuns[aGroup].mRun == number) {
-        OnClaimWritten(aGroup, aPurpose, claim, aResult);
+        OnClaimWritten(aGroup, aState, claim, aResult);
       }
     });
 }
 
 void
 PromotionCoordinator::OnClaimWritten(const std::string& aGroup,
-                                     LeadershipPurpose aPurpose,
+                                     LeadershipState aState,
                                      const LeadershipRow& aClaim,
                                      const WriteResult& aResult)
 {
@@ -76,12 +83,20 @@
     run.mToken = aClaim.mToken - kReservedTokens;
     run.mLastToken = aClaim.mToken;
   }
-  if (aPurpose == LeadershipPurpose::Reservation || run.mPhase != Phase::Claiming) {
+  if (aState == LeadershipState::Reserved || run.mPhase != Phase::Claiming) {
     return;
   }
-  if (std::holds_alternative<Written>(aResult)) {
-    Choose(aGroup, now);
-  } else if (std::holds_alternative<StoreFailure>(aResult) &&
+  if (const auto* written = std::get_if<Written>(&aResult)) {
+    run.mAwaited.reset();
+    run.mPending = aClaim.mLeader;
+    run.mRowRevision = written->mRevision;
+    run.mRowAt = now;
+    if (NeedsTransfer()) {
+      StartTransfer(aGroup, run, now);
+    } else {
+      Choose(aGroup, now);
+    }
+  } else if (!NeedsTransfer() && std::holds_alternative<StoreFailure>(aResult) &&
              HasReservedToken(aGroup, run)) {
     PromoteReserved(aGroup, run, run.mReason, now);
   } else {
@@ -122,7 +137,7 @@
   aRun.mReservationAt.reset();
   aRun.mClaimAfter = aNow + kReservationDelay;
   aRun.mReplaced.clear();
-  WriteClaim(aGroup, aRun, LeadershipPurpose::Reservation, aNow);
+  WriteClaim(aGroup, aRun, LeadershipState::Reserved, aNow);
 }
 
 bool
--- a/src/libs/proxy/promotioncoordinator_run.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_run.cpp
@@ -1,6 +1,6 @@
-#include "proxy/promotioncoordinator.h"
+#include "proxy/leadership/promotioncoordinator.h"
 
-#include "proxy/promotiontimes.h"
+#include "proxy/leadership/promotiontimes.h"
 
 #include <algorithm>
 #include <utility>
@@ -149,7 +149,13 @@
     Abandon(aRun, kAbandonPause, aNow);
     return;
   }
+  if (NeedsTransfer() && aNow - aRun.mRowSentAt > kCallValidity) {
+    // Another instance may claim soon, and its call must come after all of these.
+    Abandon(aRun, kAbandonPause, aNow);
+    return;
+  }
   aRun.mIsCalling = true;
+  aRun.mMayHaveCalled = true;
   aRun.mCalls++;
   mStore.mPromote({ aGroup, aRun.mTarget, mInstance, aRun.mToken },
                   [this, aGroup, number = aRun.mRun](PromotionAnswer aAnswer) {
@@ -178,12 +184,23 @@
     mHooks.mExpect(aGroup, run.mTarget, now);
     // The promotion itself resumes the replicas.
     run.mHasPaused = false;
-    if (run.mIsSwitchover) {
+    run.mTransfer.reset();
+    if (NeedsTransfer()) {
+      LeadershipRow settled;
+      settled.mToken = run.mLastToken;
+      settled.mHolder = mInstance;
+      settled.mMember = run.mReplaced.empty() ? "-" : run.mReplaced;
+      settled.mState = LeadershipState::Settled;
+      settled.mLeader = run.mTarget;
+      WriteLeadership(aGroup, run, settled, now);
+    } else if (run.mIsSwitchover) {
       DemoteReplaced(aGroup, run, now);
     }
     Abandon(run, kClaimSpacing, now);
   } else if (aAnswer == PromotionAnswer::Refused) {
     run.mRefused[run.mTarget] = now + kRefusedPause;
+    run.mMayHaveCalled = false;
+    run.mNeedsLeader = NeedsTransfer();
     // Another instance may have used a newer token; the reserve would be refused, too.
     run.mLastToken = run.mToken;
     Abandon(run, kAbandonPause, now);
@@ -240,8 +257,10 @@
 PromotionCoordinator::Abandon(GroupRun& aRun, Duration aPause, TimePoint aNow)
 {
   ResumeCandidates(aRun, aNow);
+  GiveUpTransfer(aRun, aNow);
   aRun.mPhase = Phase::Watching;
   aRun.mIsCalling = false;
+  aRun.mCallAt = TimePoint::max();
   aRun.mRun++;
   aRun.mClaimAfter = aNow + aPause;
   aRun.mReasonSince.reset();
--- a/src/libs/proxy/promotiontimes.h
+++ b/src/libs/proxy/leadership/promotiontimes.h
@@ -54,6 +54,13 @@
 constexpr Duration kChoiceTime = 300ms;
 /** The same where acknowledged commits must not be missed. */
 constexpr Duration kSafeChoiceTime = 2s;
+/** Promotion calls are repeated only this long after the row that names the member was
+ * sent; below kClaimSpacing, so that no call of another claim comes before them. */
+constexpr Duration kCallValidity = 2s;
+/** Others take a claim for left when its row hasn't changed for kClaimSpacing. */
+constexpr Duration kClaimRenewal = 1s;
+/** Pause before a row that the store did not take is written again. */
+constexpr Duration kRowRetry = 100ms;
 /** Pause before a promotion call without an answer is repeated with its token. */
 constexpr Duration kCallPause = 100ms;
 constexpr std::uint32_t kMaxCalls = 6;
--- a/src/libs/proxy/memberstatus.h
+++ b/src/libs/proxy/memberstatus.h
@@ -15,6 +15,8 @@
   std::uint64_t mTerm = 0;
   /** Newest position that the member has received; it may not have applied it yet. */
   LogPosition mReceived;
+  /** Term for which it was paused; 0 while it receives. */
+  std::uint64_t mHeldTerm = 0;
   /** How far what it has applied is behind what it has received. */
   Duration mLag{};
 };
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -43,7 +43,7 @@
 }
 
 void
-ProxyCore::OnHomesChanged(TimePoint aNow)
+ProxyCore::OnRoutesToMembersChanged(TimePoint aNow)
 {
   for (auto& [name, group] : mGroups) {
     Dispatch(group, aNow);
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "proxy/group.h"
+#include "proxy/leadership/primaryhealth.h"
 #include "proxy/member.h"
 #include "proxy/operation.h"
 #include "proxy/poolconnection.h"
-#include "proxy/primaryhealth.h"
 #include "proxy/proxyhooks.h"
 #include "proxy/proxysettings.h"
 #include "proxy/session.h"
@@ -71,8 +71,9 @@
   void OnConfiguration(const ProxyConfiguration& aConfiguration, TimePoint aNow);
   /** Takes all members that the directory lists now. */
   void OnDirectory(std::span<const MemberEntry> aEntries, TimePoint aNow);
-  /** The answers of mIsHome, mHomeCount and mPickHome may have changed. */
-  void OnHomesChanged(TimePoint aNow);
+  /** The answers of mIsHome, mHomeCount, mPickHome, mLeader or mPermits may have changed.
+   */
+  void OnRoutesToMembersChanged(TimePoint aNow);
   /** Takes reloaded settings. */
   void OnSettings(const ProxySettings& aSettings) { mSettings = aSettings; }
   /**
@@ -95,6 +96,8 @@
   /** @return zone of the member that leads the group or says so, or nothing */
   [[nodiscard]] std::optional<std::string> PrimaryZone(std::string_view aGroup,
                                                        TimePoint aNow) const;
+  /** @return listed members of the group */
+  [[nodiscard]] std::vector<MemberEntry> ListedMembers(std::string_view aGroup) const;
   /** @return listed members of the group that are no primary */
   [[nodiscard]] std::vector<MemberEntry> ReplicasOf(std::string_view aGroup) const;
   /** @return when a member of a zone last answered */
@@ -254,6 +257,8 @@
                      MemberReply aReply,
                      TimePoint aNow);
   [[nodiscard]] bool InTransaction(const Operation& aOperation) const;
+  /** @return whether a success of the operation acknowledges a commit */
+  [[nodiscard]] bool CommitsData(const Operation& aOperation) const;
   void LearnPosition(const PoolConnection& aConnection,
                      const OutstandingCommand& aCommand,
                      const MemberReply& aReply,
--- a/src/libs/proxy/proxycore_members.cpp
+++ b/src/libs/proxy/proxycore_members.cpp
@@ -108,6 +108,11 @@
   if (const Member* leading = PrimaryMember(aGroup, aNow)) {
     return leading;
   }
+  const std::optional<std::string> decided = mHooks.mLeader(aGroup.mLimits.mName);
+  if (decided && !decided->empty()) {
+    const auto leader = mMembers.find(*decided);
+    return leader == mMembers.end() ? nullptr : &leader->second;
+  }
   const Member* claimant = nullptr;
   for (const std::string& id : aGroup.mMembers) {
     const Member& member = mMembers.find(id)->second;
@@ -175,14 +180,32 @@
   return isAnyLagging;
 }
 
+std::vector<MemberEntry>
+ProxyCore::ListedMembers(std::string_view aGroup) const
+{
+  std::vector<MemberEntry> members;
+  if (const Group* group = FindGroup(aGroup)) {
+    for (const std::string& id : group->mMembers) {
+      const Member& member = mMembers.find(id)->second;
+      if (member.mIsListed) {
+        members.push_back(member.mEntry);
+      }
+    }
+  }
+  return members;
+}
+
 std::vector<MemberEntry>
 ProxyCore::ReplicasOf(std::string_view aGroup) const
 {
   std::vector<MemberEntry> replicas;
   if (const Group* group = FindGroup(aGroup)) {
+    const std::optional<std::string> decided = mHooks.mLeader(aGroup);
     for (const std::string& id : group->mMembers) {
       const Member& member = mMembers.find(id)->second;
-      if (member.mIsListed && member.mPrimarySince == 0) {
+      const bool isReplica =
+        decided && !decided->empty() ? *decided != id : member.mPrimarySince == 0;
+      if (member.mIsListed && isReplica) {
         replicas.push_back(member.mEntry);
       }
     }
@@ -217,6 +240,12 @@
 const Member*
 ProxyCore::PrimaryMember(const Group& aGroup, TimePoint aNow) const
 {
+  if (const std::optional<std::string> decided = mHooks.mLeader(aGroup.mLimits.mName)) {
+    const auto leader = mMembers.find(*decided);
+    const bool leads = leader != mMembers.end() && IsUsable(leader->second) &&
+                       leader->second.mNotLeadingUntil <= aNow;
+    return leads ? &leader->second : nullptr;
+  }
   // A recent proof counts more than the directory, which lags.
   if (aNow - aGroup.mProvenAt < kProofLasts) {
     const auto proven = mMembers.find(aGroup.mProvenPrimary);
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -112,6 +112,9 @@
     SearchLeader(aGroup, aNow);
     return false;
   }
+  if (!mHooks.mPermits(aOperation.mGroup, known->mEntry.mId, aNow)) {
+    return false;
+  }
   Member& primary = mMembers.find(known->mEntry.mId)->second;
   if (primary.mDrainingSince && aNow - *primary.mDrainingSince > kDrainingPrimaryUse) {
     return false;
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -92,6 +92,10 @@
       return;
     }
   }
+  // An old leader may answer as if it still led.
+  if (!mHooks.mPermits(member.mEntry.mGroup, aConnection.mMember, aCommand.mSentAt)) {
+    return;
+  }
   Group& group = mGroups[member.mEntry.mGroup];
   group.mSamples.Add(*aReply.mPosition, aCommand.mSentAt);
   if (group.mProvenPrimary != aConnection.mMember) {
@@ -114,7 +118,8 @@
   if (aMember.mNotLeadingUntil <= aNow) {
     aMember.mNotLeadingUntil = aNow + kNotLeadingPause;
     Group& group = mGroups[aMember.mEntry.mGroup];
-    if (!group.mLeaderlessSince && aMember.mPrimarySince > 0) {
+    const bool isDecided = mHooks.mLeader(aMember.mEntry.mGroup) == aMember.mEntry.mId;
+    if (!group.mLeaderlessSince && (aMember.mPrimarySince > 0 || isDecided)) {
       group.mLeaderlessSince = aNow;
     }
     if (group.mProvenPrimary == aMember.mEntry.mId) {
@@ -168,6 +173,18 @@
          aOperation.mPurpose == OperationPurpose::TransactionNext;
 }
 
+bool
+ProxyCore::CommitsData(const Operation& aOperation) const
+{
+  if (!InTransaction(aOperation)) {
+    return aOperation.mWrites;
+  }
+  const auto session = mSessions.find(aOperation.mSession);
+  return aOperation.mStatement.mKind == StatementKind::Commit &&
+         session != mSessions.end() && session->second.mTransaction &&
+         session->second.mTransaction->mWrote;
+}
+
 void
 ProxyCore::OnStatementReply(ConnectionKey aKey,
                             const OutstandingCommand& aCommand,
@@ -200,6 +217,12 @@
     if (operation.mPurpose != OperationPurpose::TransactionNext) {
       member.mLaggingSince.reset();
     }
+    if (CommitsData(operation) &&
+        !mHooks.mPermits(operation.mGroup, connection.mMember, aNow)) {
+      // Another member may lead already, and lack this commit.
+      AbandonConnection(aKey, "commit without a permission for the leader", aNow);
+      return;
+    }
     FinishSuccess(aKey, key, std::move(aReply), aNow);
     return;
   }
--- a/src/libs/proxy/proxyhooks.h
+++ b/src/libs/proxy/proxyhooks.h
@@ -49,6 +49,12 @@
   std::function<void(OperationKey)> mCancelForward;
   /** Tells a home that a session's transaction is over. */
   std::function<void(const std::string& aHome, SessionKey)> mForwardEnd;
+  /** @return whether a member's answers at a time are those of the group's only leader */
+  std::function<bool(std::string_view aGroup, std::string_view aMember, TimePoint)>
+    mPermits;
+  /** @return the member that leads by the shared decision of the instances; empty while
+   * it changes; nothing where members alone tell */
+  std::function<std::optional<std::string>(std::string_view aGroup)> mLeader;
   /** Records a decision. */
   std::function<void(LogLevel, std::string_view aEvent, std::initializer_list<LogField>)>
     mLog;
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -3,7 +3,9 @@
 #include "proxy/proxycore.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -242,6 +244,11 @@
   std::vector<SessionKey> mWelcomed;
   std::vector<std::pair<OperationKey, ForwardedStatement>> mForwarded;
   bool mIsHome = true;
+  /** Permissions to use a leader; everybody has them by default. */
+  std::function<bool(std::string_view aMember, TimePoint)> mPermits =
+    [](std::string_view, TimePoint) { return true; };
+  /** Who leads by decision of the instances. */
+  std::optional<std::string> mLeader;
   std::vector<std::string> mLog;
 
 private:
@@ -283,6 +290,10 @@
     };
     hooks.mCancelForward = [](OperationKey) {};
     hooks.mForwardEnd = [](const std::string&, SessionKey) {};
+    hooks.mPermits = [this](std::string_view, std::string_view aMember, TimePoint aAt) {
+      return mPermits(aMember, aAt);
+    };
+    hooks.mLeader = [this](std::string_view) { return mLeader; };
     hooks.mLog =
       [this](LogLevel, std::string_view aEvent, std::initializer_list<LogField> aFields) {
         std::string line(aEvent);
--- a/tests/auto/proxy/memberworld.h
+++ b/tests/auto/proxy/memberworld.h
@@ -478,6 +478,8 @@
     hooks.mForward = [](const std::string&, OperationKey, const ForwardedStatement&) {};
     hooks.mCancelForward = [](OperationKey) {};
     hooks.mForwardEnd = [](const std::string&, SessionKey) {};
+    hooks.mPermits = [](std::string_view, std::string_view, TimePoint) { return true; };
+    hooks.mLeader = [](std::string_view) { return std::nullopt; };
     hooks.mLog = [](LogLevel, std::string_view, std::initializer_list<LogField>) {};
     hooks.mCount = [](std::string_view) {};
     hooks.mObserve = [](std::string_view, Duration) {};
--- a/tests/auto/proxy/storeworld.h
+++ b/tests/auto/proxy/storeworld.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "proxy/promotioncoordinator.h"
+#include "proxy/leadership/promotioncoordinator.h"
 
 #include <algorithm>
 #include <deque>
@@ -51,8 +51,8 @@
     mReceived = { { "r1", 100 }, { "r2", 90 } };
     for (std::size_t index = 0; index < aInstances; index++) {
       const std::string name = "instance-" + std::to_string(index);
-      mInstances[name].mCoordinator =
-        std::make_unique<PromotionCoordinator>(name, Store(name), Hooks(name));
+      mInstances[name].mCoordinator = std::make_unique<PromotionCoordinator>(
+        name, LeadEndedBy::Platform, Store(name), Hooks(name));
     }
     Deliver();
   }
@@ -101,8 +101,8 @@
   {
     // Answers to calls of the old process must find nobody.
     mRetired.push_back(std::move(mInstances[aName].mCoordinator));
-    mInstances[aName].mCoordinator =
-      std::make_unique<PromotionCoordinator>(aName, Store(aName), Hooks(aName));
+    mInstances[aName].mCoordinator = std::make_unique<PromotionCoordinator>(
+      aName, LeadEndedBy::Platform, Store(aName), Hooks(aName));
     Deliver();
   }
 
@@ -302,7 +302,7 @@
       At(5ms, [this, member, aHook] {
         MemberReply reply;
         reply.mStatus = MemberStatus{
-          MemberRole::Replica, 1, LogPosition{ 1, mReceived[member] }, mReplicaLag
+          MemberRole::Replica, 1, LogPosition{ 1, mReceived[member] }, 0, mReplicaLag
         };
         aHook(reply);
       });
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -277,7 +277,7 @@
   world.Run(8s);
   const auto first = DecodeLeadership(world.mRows["leadership/group"].mValue);
   REQUIRE(first);
-  REQUIRE(first->mPurpose == LeadershipPurpose::Reservation);
+  REQUIRE(first->mState == LeadershipState::Reserved);
   world.Run(20s);
   REQUIRE(DecodeLeadership(world.mRows["leadership/group"].mValue)->mToken ==
           first->mToken);
@@ -306,17 +306,18 @@
   const auto row = DecodeLeadership("7 holder member");
   REQUIRE(row);
   REQUIRE(row->mToken == 7);
-  REQUIRE(row->mPurpose == LeadershipPurpose::Promotion);
+  REQUIRE(row->mState == LeadershipState::Claimed);
 }
 
 TEST_CASE("coordination rows survive their encoding, and other text is refused")
 {
   const auto row = DecodeLeadership(
-    Encode(LeadershipRow{ 7, "holder", "member", LeadershipPurpose::Reservation }));
+    Encode(LeadershipRow{ 7, "holder", "member", LeadershipState::Reserved, "leader" }));
   REQUIRE(row);
   REQUIRE(row->mToken == 7);
-  REQUIRE(row->mPurpose == LeadershipPurpose::Reservation);
+  REQUIRE(row->mState == LeadershipState::Reserved);
   REQUIRE(row->mMember == "member");
+  REQUIRE(row->mLeader == "leader");
   const auto opinion = DecodeOpinion(Encode(PrimaryOpinion{ "member", true }));
   REQUIRE(opinion);
   REQUIRE(opinion->mIsAlive);
