End a stream whose handler throws instead of the process

Cause: an exception in what one stream brought left the event loop and ended the process with all its sessions. Change: the loop reports exceptions of handlers to a hook; the stream table ends the stream that caused one.

--- a/src/libs/eventloop/eventloop.cpp
+++ b/src/libs/eventloop/eventloop.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <ctime>
+#include <exception>
 #include <system_error>
 
 namespace papayaspindle {
@@ -99,10 +100,29 @@
     }
     // The hook may unwatch its own descriptor.
     const std::shared_ptr<ReadyHook> hook = found->second.mHook;
-    (*hook)(event.events);
+    RunGuarded("event", [&] { (*hook)(event.events); });
   }
 }
 
+void
+EventLoop::RunGuarded(std::string_view aWhat, const std::function<void()>& aTask)
+{
+  try {
+    aTask();
+  } catch (const std::exception& failure) {
+    if (!mFailureHook) {
+      throw;
+    }
+    mFailureHook(aWhat, failure.what());
+  }
+}
+
+void
+EventLoop::SetFailureHook(FailureHook aHook)
+{
+  mFailureHook = std::move(aHook);
+}
+
 TimePoint
 EventLoop::Now()
 {
--- a/src/libs/eventloop/eventloop.h
+++ b/src/libs/eventloop/eventloop.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 
 namespace papayaspindle {
@@ -28,6 +29,13 @@
   void Change(int aDescriptor, std::uint32_t aEvents);
   /** Ends the calls for a descriptor; called before it is closed. */
   void Unwatch(int aDescriptor);
+  /** Takes what failed and why. */
+  using FailureHook = std::function<void(std::string_view aWhat, std::string_view aWhy)>;
+  /** Takes exceptions of hooks, which otherwise leave RunOnce. */
+  void SetFailureHook(FailureHook aHook);
+  /** Runs a task; an exception goes to the failure hook. @param aWhat name in the report
+   */
+  void RunGuarded(std::string_view aWhat, const std::function<void()>& aTask);
   /** Waits until a descriptor is ready or the time has come, and runs the hooks. */
   void RunOnce(TimePoint aUntil);
 
@@ -42,6 +50,7 @@
   };
 
   int mEpoll = -1;
+  FailureHook mFailureHook;
   std::uint64_t mNextGeneration = 1;
   std::unordered_map<int, Entry> mEntries;
 };
--- a/src/libs/eventloop/streamtable.cpp
+++ b/src/libs/eventloop/streamtable.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <exception>
 
 namespace papayaspindle {
 
@@ -147,10 +148,22 @@
   mStreams.emplace(key, std::move(stream));
   mLoop.Watch(aSocket.impl()->sockfd(),
               aIsConnecting ? EPOLLOUT : EPOLLIN,
-              [this, key](std::uint32_t aEvents) { OnReady(key, aEvents); });
+              [this, key](std::uint32_t aEvents) { OnReadyGuarded(key, aEvents); });
   return key;
 }
 
+void
+StreamTable::OnReadyGuarded(StreamKey aKey, std::uint32_t aEvents)
+{
+  try {
+    OnReady(aKey, aEvents);
+  } catch (const std::exception&) {
+    // What a stream brought may not be handled to its end: only the stream is given up.
+    mFailed.push_back(aKey);
+    throw;
+  }
+}
+
 void
 StreamTable::OnReady(StreamKey aKey, std::uint32_t aEvents)
 {
--- a/src/libs/eventloop/streamtable.h
+++ b/src/libs/eventloop/streamtable.h
@@ -67,6 +67,8 @@
                   const StreamHooks& aHooks,
                   bool aIsConnecting);
   void OnReady(StreamKey aKey, std::uint32_t aEvents);
+  /** Ends a stream whose hooks throw, and passes the exception on. */
+  void OnReadyGuarded(StreamKey aKey, std::uint32_t aEvents);
   void OnAcceptable(std::size_t aListener);
   bool Receive(StreamKey aKey, Stream& aStream);
   bool SendQueued(Stream& aStream);
