Repeat unanswered promotion calls before another member is chosen

Change: rows of leadership that a starting process reads count as new; a pending member is promoted again where it answers, and waited for 6 s where it doesn't.

--- a/src/libs/proxy/leadership/leadershiptransfer.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer.cpp
@@ -17,6 +17,9 @@
   for (const std::string& member : mRequest.mCandidates) {
     mFollowers[member].mIsCandidate = true;
   }
+  if (!mRequest.mPending.empty()) {
+    mFollowers[mRequest.mPending];
+  }
 }
 
 std::vector<TransferCommand>
@@ -26,7 +29,10 @@
   if (mRequest.mIsSwitchover) {
     return Ask(CommandKind::Status, aNow);
   }
-  return mRequest.mIsReplacedReachable ? StartDemoting(aNow) : StartHolding(aNow);
+  // The word of a member that may still be promoted is none that it has stepped down.
+  const bool canStepDown =
+    mRequest.mIsReplacedReachable && mRequest.mReplaced != mRequest.mPending;
+  return canStepDown ? StartDemoting(aNow) : StartHolding(aNow);
 }
 
 std::vector<TransferCommand>
@@ -83,7 +89,8 @@
   mStepSince = aNow;
   std::vector<TransferCommand> commands = Ask(CommandKind::Pause, aNow);
   // The old leader may be out of reach for others only.
-  if (!mRequest.mReplaced.empty() && !mIsDemoteAsked) {
+  if (!mRequest.mReplaced.empty() && mRequest.mReplaced != mRequest.mPending &&
+      !mIsDemoteAsked) {
     commands.push_back(Demote());
   }
   return commands;
@@ -114,8 +121,10 @@
     follower.mStatus = aReply->mStatus;
   }
   const bool leads = isAnswered && aReply->mStatus->mRole == MemberRole::Primary;
-  if (leads && aMember == mRequest.mPending) {
-    // The unanswered call was done.
+  const bool isReplaced = aMember == mRequest.mReplaced;
+  if (isAnswered && aMember == mRequest.mPending && (leads || isReplaced)) {
+    // The unanswered call was done, or can be repeated: nobody else was permitted to lead
+    // since then.
     mTarget = mRequest.mPending;
     mOutcome = Outcome::Ready;
     return {};
@@ -212,9 +221,16 @@
 void
 LeadershipTransfer::JudgeHolding(TimePoint aNow)
 {
+  if (!mRequest.mPending.empty() && !mFollowers[mRequest.mPending].mStatus &&
+      aNow - mRequest.mClaimedAt < kLateCalls) {
+    return;
+  }
   TimePoint heldSince = mRequest.mClaimedAt;
   bool areAllHeld = true;
   for (const auto& [member, follower] : mFollowers) {
+    if (member == mRequest.mReplaced) {
+      continue;
+    }
     areAllHeld = areAllHeld && follower.mHeldAt;
     heldSince = std::max(heldSince, follower.mHeldAt.value_or(heldSince));
   }
--- a/src/libs/proxy/leadership/leadershiptransfer.h
+++ b/src/libs/proxy/leadership/leadershiptransfer.h
@@ -29,7 +29,7 @@
   std::vector<std::string> mFollowers;
   /** Followers that may be promoted. */
   std::vector<std::string> mCandidates;
-  /** Candidate that an unanswered call may still promote; empty for none. */
+  /** Member that an unanswered call may still promote; empty for none. */
   std::string mPending;
   /** Term above every one that was seen. */
   std::uint64_t mNextTerm = 0;
--- a/src/libs/proxy/leadership/leasetimes.h
+++ b/src/libs/proxy/leadership/leasetimes.h
@@ -35,6 +35,8 @@
 constexpr Duration kCatchUpTime = 500ms;
 /** Pause between questions to replicas that are about to receive them. */
 constexpr Duration kCatchUpPause = 25ms;
+/** A promotion call that was not answered may still be done this long. */
+constexpr Duration kLateCalls = 6s;
 /** Pause before a follower that did not answer is paused again. */
 constexpr Duration kHoldRetry = 250ms;
 /** A transfer without any replica that answers is given up after this time. */
--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -25,8 +25,10 @@
   for (const StoredRow& row : aRows) {
     SeenRow& seen = mRows[row.mKey];
     if (seen.mRow.mRevision != row.mRevision) {
-      // The age of rows that were there before this process is not known.
-      seen.mSeenAt = mHasRows ? aNow : TimePoint();
+      // The age of rows that were there before this process is not known. The newest
+      // change of leadership may be as young as the process.
+      const bool mayBeYoung = NeedsTransfer() && GroupOfLeadership(row.mKey);
+      seen.mSeenAt = mHasRows || mayBeYoung ? aNow : TimePoint();
       seen.mRow = row;
     }
   }
