Carry any bytes between instances

Cause: forwarded texts were protobuf strings, which refuse bytes that are no UTF-8: such a statement of a client failed as unknown at an instance that is no home. Times could overflow. Change: texts are bytes, which has the same encoding; times are limited.

--- a/src/libs/forwarding/forwardcodec.cpp
+++ b/src/libs/forwarding/forwardcodec.cpp
@@ -2,6 +2,8 @@
 
 #include "forward.pb.h"
 
+#include <algorithm>
+
 namespace papayaspindle {
 
 namespace {
@@ -23,7 +25,9 @@
 Duration
 FromMicroseconds(std::uint64_t aMicroseconds)
 {
-  return std::chrono::microseconds(aMicroseconds);
+  // A longer time would overflow where it is added to another.
+  constexpr std::uint64_t kMost = 86'400'000'000;
+  return std::chrono::microseconds(std::min(aMicroseconds, kMost));
 }
 
 LogPosition
@@ -65,7 +69,9 @@
   message.set_may_write(aStatement.mMayWrite);
   message.set_writes(aStatement.mWrites);
   for (const auto& [name, value] : aStatement.mValues) {
-    (*message.mutable_values())[name] = value;
+    v1::SessionValue& entry = *message.add_values();
+    entry.set_name(name);
+    entry.set_value(value);
   }
   if (aStatement.mLastCommit) {
     ToMessage(*aStatement.mLastCommit, *message.mutable_last_commit());
@@ -104,8 +110,8 @@
   statement.mPurpose = static_cast<OperationPurpose>(message.purpose());
   statement.mMayWrite = message.may_write();
   statement.mWrites = message.writes();
-  for (const auto& [name, value] : message.values()) {
-    statement.mValues.emplace(name, value);
+  for (const v1::SessionValue& entry : message.values()) {
+    statement.mValues.emplace(entry.name(), entry.value());
   }
   if (message.has_last_commit()) {
     statement.mLastCommit = FromMessage(message.last_commit());
