Read the store for a zone, and pass tables on between instances

Change: two instances of each zone read the tables; the others ask them over the links between instances (TableFollower, TableRelay). Answers carry the store's revision, so nobody goes back, and their age. A reader that is silent, behind or has lost the store is left out, and the store itself is read. Up to 12 instances read for themselves as before.

--- a/src/libs/forwarding/forwardclient.cpp
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -82,6 +82,57 @@
   mChanged.insert(aInstance);
 }
 
+void
+ForwardClient::AskRelay(const std::string& aInstance,
+                        const proxy::RelayRequest& aRequest,
+                        Duration aTimeout,
+                        TimePoint aNow,
+                        RelayHook aHook)
+{
+  Link* link = Connect(aInstance, aNow);
+  const std::int32_t stream =
+    link == nullptr
+      ? 0
+      : link->mSession->SubmitRequest(kRelayMethod, EncodeRelayRequest(aRequest), "");
+  if (stream == 0) {
+    mUnasked.push_back(std::move(aHook));
+    return;
+  }
+  link->mQuestions.emplace(stream, std::move(aHook));
+  mQuestionDeadlines.emplace(aNow + aTimeout,
+                             QuestionDeadline{ aInstance, link->mStream, stream });
+  mChanged.insert(aInstance);
+}
+
+void
+ForwardClient::GiveUpQuestions(TimePoint aNow)
+{
+  while (!mQuestionDeadlines.empty() && mQuestionDeadlines.begin()->first <= aNow) {
+    const QuestionDeadline late = mQuestionDeadlines.begin()->second;
+    mQuestionDeadlines.erase(mQuestionDeadlines.begin());
+    const auto link = mLinks.find(late.mInstance);
+    if (link == mLinks.end() || link->second.mStream != late.mLink) {
+      continue;
+    }
+    const auto question = link->second.mQuestions.find(late.mStream);
+    if (question == link->second.mQuestions.end()) {
+      continue;
+    }
+    const RelayHook hook = std::move(question->second);
+    link->second.mQuestions.erase(question);
+    link->second.mSession->CancelRequest(late.mStream);
+    mChanged.insert(late.mInstance);
+    hook(std::nullopt);
+  }
+}
+
+TimePoint
+ForwardClient::NextTimer() const
+{
+  return mQuestionDeadlines.empty() ? TimePoint::max()
+                                    : mQuestionDeadlines.begin()->first;
+}
+
 void
 ForwardClient::Ping(const std::string& aInstance, TimePoint aNow)
 {
@@ -128,6 +179,13 @@
                        const Result<std::string>& aReply)
 {
   Link& link = mLinks.at(aInstance);
+  const auto question = link.mQuestions.find(aStream);
+  if (question != link.mQuestions.end()) {
+    const RelayHook hook = std::move(question->second);
+    link.mQuestions.erase(question);
+    hook(IsOk(aReply) ? DecodeRelayAnswer(ValueOf(aReply)) : std::nullopt);
+    return;
+  }
   const auto pending = link.mPending.find(aStream);
   if (pending == link.mPending.end()) {
     return;
@@ -177,6 +235,9 @@
   for (const auto& [stream, operation] : link.mPending) {
     mHooks.mFailed(operation, link.mIsConnected, aInstance);
   }
+  for (const auto& [stream, hook] : link.mQuestions) {
+    hook(std::nullopt);
+  }
   mHooks.mLost(aInstance);
 }
 
@@ -187,6 +248,10 @@
   for (const auto& [operation, instance] : unsent) {
     mHooks.mFailed(operation, false, instance);
   }
+  for (const RelayHook& hook : std::exchange(mUnasked, {})) {
+    hook(std::nullopt);
+  }
+  GiveUpQuestions(aNow);
   std::vector<std::string> broken;
   for (const std::string& instance : mOpening) {
     if (aNow - mLinks.at(instance).mOpenedAt > kConnectTimeout) {
--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -2,6 +2,7 @@
 
 #include "eventloop/streamtable.h"
 #include "forwarding/forwardcodec.h"
+#include "forwarding/relaycodec.h"
 #include "transport/http2session.h"
 
 #include <functional>
@@ -12,6 +13,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace papayaspindle {
 
@@ -36,6 +38,8 @@
 class ForwardClient
 {
 public:
+  using RelayHook = std::function<void(const std::optional<proxy::RelayAnswer>&)>;
+
   ForwardClient(StreamTable& aStreams, ForwardClientHooks aHooks);
 
   void Forward(const std::string& aInstance,
@@ -44,12 +48,22 @@
                TimePoint aNow);
   /** Gives a statement up; no hook is called for it. */
   void Cancel(proxy::OperationKey aOperation);
+  /** Asks a reader for rows of the store.
+   * @param aHook called once, never from within the call; with nothing when the reader
+   * can't be reached or doesn't answer in time */
+  void AskRelay(const std::string& aInstance,
+                const proxy::RelayRequest& aRequest,
+                Duration aTimeout,
+                TimePoint aNow,
+                RelayHook aHook);
   /** Asks an instance for a sign of life. */
   void Ping(const std::string& aInstance, TimePoint aNow);
   /** Ends a session's transaction at a home. */
   void EndSession(const std::string& aInstance, proxy::SessionKey aSession);
   /** Hands what is queued to the streams; called once for each turn of the loop. */
   void Flush(TimePoint aNow);
+  /** @return when Flush is due at the latest */
+  [[nodiscard]] TimePoint NextTimer() const;
 
 private:
   struct Link
@@ -59,6 +73,16 @@
     bool mIsConnected = false;
     TimePoint mOpenedAt;
     std::map<std::int32_t, proxy::OperationKey> mPending;
+    /** Unanswered questions to a reader. */
+    std::map<std::int32_t, RelayHook> mQuestions;
+  };
+
+  /** When a question is given up. */
+  struct QuestionDeadline
+  {
+    std::string mInstance;
+    StreamKey mLink = 0;
+    std::int32_t mStream = 0;
   };
 
   Link* Connect(const std::string& aInstance, TimePoint aNow);
@@ -67,6 +91,7 @@
                const Result<std::string>& aReply);
   void OnInput(const std::string& aInstance, std::string& aInput);
   void Drop(const std::string& aInstance);
+  void GiveUpQuestions(TimePoint aNow);
 
   StreamTable& mStreams;
   ForwardClientHooks mHooks;
@@ -77,6 +102,9 @@
   std::set<std::string> mChanged;
   /** Links that are being opened. */
   std::set<std::string> mOpening;
+  std::multimap<TimePoint, QuestionDeadline> mQuestionDeadlines;
+  /** Questions that were not sent, to report in the next Flush. */
+  std::vector<RelayHook> mUnasked;
   /** Failures to report in the next Flush. */
   std::vector<std::pair<proxy::OperationKey, std::string>> mUnsent;
 };
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -67,11 +67,51 @@
   }
 }
 
+void
+ForwardServer::OnRelayRequest(StreamKey aStream,
+                              std::int32_t aRequest,
+                              const PeerRequest& aMessage)
+{
+  Link& link = mLinks.at(aStream);
+  const auto request = DecodeRelayRequest(aMessage.mBody);
+  if (!request) {
+    link.mSession->SubmitReply(
+      aRequest, Error{ ErrorKind::MalformedRequest, "the question can't be read" });
+    return;
+  }
+  const proxy::RelayKey key = mNextQuestion++;
+  link.mQuestions.insert(key);
+  mQuestions[key] = { aStream, aRequest };
+  mHooks.mRelayAsked(key, *request);
+}
+
+void
+ForwardServer::AnswerRelay(proxy::RelayKey aKey, const proxy::RelayAnswer& aAnswer)
+{
+  const auto found = mQuestions.find(aKey);
+  if (found == mQuestions.end()) {
+    return;
+  }
+  const auto [stream, request] = found->second;
+  mQuestions.erase(found);
+  const auto link = mLinks.find(stream);
+  if (link == mLinks.end()) {
+    return;
+  }
+  link->second.mQuestions.erase(aKey);
+  link->second.mSession->SubmitReply(request, EncodeRelayAnswer(aAnswer));
+  mChanged.insert(stream);
+}
+
 void
 ForwardServer::OnRequest(StreamKey aStream,
                          std::int32_t aRequest,
                          const PeerRequest& aMessage)
 {
+  if (aMessage.mMethod == kRelayMethod) {
+    OnRelayRequest(aStream, aRequest, aMessage);
+    return;
+  }
   Link& link = mLinks.at(aStream);
   std::optional<proxy::ForwardedStatement> statement = DecodeForwarded(aMessage.mBody);
   if (!statement) {
@@ -129,6 +169,10 @@
   }
   const Link link = std::move(found->second);
   mLinks.erase(found);
+  for (const proxy::RelayKey key : link.mQuestions) {
+    mQuestions.erase(key);
+    mHooks.mRelayCancelled(key);
+  }
   for (const auto& [entryKey, session] : link.mSessions) {
     mSessions.erase(session);
     mHooks.mSessionEnded(session);
--- a/src/libs/forwarding/forwardserver.h
+++ b/src/libs/forwarding/forwardserver.h
@@ -2,6 +2,8 @@
 
 #include "eventloop/streamtable.h"
 #include "forwarding/forwardcodec.h"
+#include "forwarding/relaycodec.h"
+#include "proxy/tables/tablerelay.h"
 #include "transport/http2session.h"
 
 #include <functional>
@@ -10,6 +12,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace papayaspindle {
 
@@ -19,6 +22,10 @@
   std::function<void(proxy::SessionKey, proxy::ForwardedStatement)> mStatement;
   /** The session's client is gone, or its transaction over. */
   std::function<void(proxy::SessionKey)> mSessionEnded;
+  /** Another instance asks for rows of the store; answered by AnswerRelay. */
+  std::function<void(proxy::RelayKey, const proxy::RelayRequest&)> mRelayAsked;
+  /** The instance that asked has gone. */
+  std::function<void(proxy::RelayKey)> mRelayCancelled;
   /** @return whether this instance leaves soon */
   std::function<bool()> mIsLeaving;
 };
@@ -33,6 +40,8 @@
   void Listen(const std::string& aAddress);
   /** @return whether the key is one of this class */
   static bool IsForwarded(proxy::SessionKey aSession);
+  /** Answers a question for rows of the store. */
+  void AnswerRelay(proxy::RelayKey aKey, const proxy::RelayAnswer& aAnswer);
   /** Answers the statement of a session. */
   void Answer(proxy::SessionKey aSession, const proxy::ClientAnswer& aAnswer);
   /** Hands what is queued to the streams; called once for each turn of the loop. */
@@ -51,6 +60,8 @@
   struct Link
   {
     std::unique_ptr<Http2Session> mSession;
+    /** Unanswered questions of the link's instance. */
+    std::set<proxy::RelayKey> mQuestions;
     /** By the entry instance's key. */
     std::map<proxy::SessionKey, proxy::SessionKey> mSessions;
   };
@@ -58,6 +69,9 @@
   void OnAccepted(StreamKey aStream);
   void OnInput(StreamKey aStream, std::string& aInput);
   void OnEnded(StreamKey aStream);
+  void OnRelayRequest(StreamKey aStream,
+                      std::int32_t aRequest,
+                      const PeerRequest& aMessage);
   void OnRequest(StreamKey aStream, std::int32_t aRequest, const PeerRequest& aMessage);
 
   StreamTable& mStreams;
@@ -65,6 +79,9 @@
   std::map<StreamKey, Link> mLinks;
   std::unordered_map<proxy::SessionKey, RemoteSession> mSessions;
   proxy::SessionKey mNextSession;
+  /** Link and HTTP/2 stream of each unanswered question. */
+  std::unordered_map<proxy::RelayKey, std::pair<StreamKey, std::int32_t>> mQuestions;
+  proxy::RelayKey mNextQuestion = 1;
   /** Links that may have output. */
   std::set<StreamKey> mChanged;
 };
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -117,10 +117,10 @@
     return;
   }
   const TimePoint now = mNow();
-  mOwnRevision = 0;
   for (const StoredRow& row : snapshot->mRows) {
     if (row.mKey == mSelf.mInstance) {
-      mOwnRevision = row.mRevision;
+      // The rows may be older than this instance's last write.
+      mOwnRevision = std::max(mOwnRevision, row.mRevision);
       continue;
     }
     const auto instance = DecodeInstance(row);
@@ -146,12 +146,17 @@
     mHasReported = true;
     mHook(live);
   }
-  WriteRow();
+  // The first reads after a start follow each other within less than a beat.
+  const bool isDue = mOwnRevision == 0 || now - mWrittenAt >= BeatOf(mSeen.size()) / 2;
+  if (isDue) {
+    WriteRow();
+  }
 }
 
 void
 InstanceRegistry::WriteRow()
 {
+  mWrittenAt = mNow();
   StoredRow row;
   row.mTable = kInstanceTable;
   row.mKey = mSelf.mInstance;
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -59,6 +59,7 @@
   ChangedHook mHook;
   std::map<std::string, Seen> mSeen;
   std::uint64_t mOwnRevision = 0;
+  TimePoint mWrittenAt;
   std::uint64_t mBeats = 0;
   /** What the hook was given last, as text. */
   std::string mReported;
--- /dev/null
+++ b/src/libs/proxy/tables/tablecopy.cpp
@@ -0,0 +1,99 @@
+#include "proxy/tables/tablecopy.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+// Askers are behind by seconds; members leave some times a minute.
+constexpr std::size_t kMaxRemovals = 256;
+
+} // namespace
+
+bool
+TableCopy::Replace(std::span<const StoredRow> aRows, std::uint64_t aRevision)
+{
+  if (aRevision < mRevision) {
+    return false;
+  }
+  mRows.clear();
+  for (const StoredRow& row : aRows) {
+    mRows.emplace(row.mKey, row);
+  }
+  mRevision = aRevision;
+  mRemoved.clear();
+  mRemovalsSince = aRevision;
+  return true;
+}
+
+bool
+TableCopy::Apply(std::span<const ChangedRow> aChanges, std::uint64_t aRevision)
+{
+  bool hasChanged = false;
+  for (const ChangedRow& change : aChanges) {
+    if (change.mRow.mRevision <= mRevision) {
+      continue;
+    }
+    hasChanged = true;
+    if (!change.mIsRemoved) {
+      mRows.insert_or_assign(change.mRow.mKey, change.mRow);
+      continue;
+    }
+    mRows.erase(change.mRow.mKey);
+    mRemoved.emplace_back(change.mRow.mRevision, change.mRow.mKey);
+    if (mRemoved.size() > kMaxRemovals) {
+      mRemovalsSince = mRemoved.front().first;
+      mRemoved.pop_front();
+    }
+  }
+  mRevision = std::max(mRevision, aRevision);
+  return hasChanged;
+}
+
+bool
+TableCopy::Take(const RelayAnswer& aAnswer)
+{
+  if (!aAnswer.mIsFull) {
+    return Apply(aAnswer.mRows, aAnswer.mRevision);
+  }
+  std::vector<StoredRow> rows;
+  rows.reserve(aAnswer.mRows.size());
+  for (const ChangedRow& change : aAnswer.mRows) {
+    rows.push_back(change.mRow);
+  }
+  return Replace(rows, aAnswer.mRevision);
+}
+
+RelayAnswer
+TableCopy::ChangesAfter(std::uint64_t aRevision) const
+{
+  RelayAnswer answer;
+  answer.mRevision = mRevision;
+  answer.mIsFull = aRevision == 0 || aRevision < mRemovalsSince;
+  for (const auto& [key, row] : mRows) {
+    if (answer.mIsFull || row.mRevision > aRevision) {
+      answer.mRows.push_back({ row, false });
+    }
+  }
+  if (answer.mIsFull) {
+    return answer;
+  }
+  for (const auto& [revision, key] : mRemoved) {
+    if (revision > aRevision && !mRows.contains(key)) {
+      StoredRow row;
+      row.mKey = key;
+      row.mRevision = revision;
+      answer.mRows.push_back({ std::move(row), true });
+    }
+  }
+  std::sort(answer.mRows.begin(),
+            answer.mRows.end(),
+            [](const ChangedRow& aLeft, const ChangedRow& aRight) {
+              return aLeft.mRow.mRevision < aRight.mRow.mRevision;
+            });
+  return answer;
+}
+
+} // namespace papayaspindle::proxy
