Answer what still waits or runs when an instance stops

Cause: 0.7 s before the end of the grace every session was closed, also with a statement that waited or ran, and what was queued for slow clients was lost when the process ended. Clients saw the connection end without an answer. The choice of that answer stood three times; it is one function now. Tests: two cases of tst_proxysessions failed first.

--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -147,6 +147,8 @@
   void AdmitEarlySessions(TimePoint aNow);
   /** Ends the operation of a session whose client has left. */
   void AbandonOperation(OperationKey aKey, Session& aSession);
+  /** Answers what a session still waits for when this instance stops. */
+  void AnswerBeforeStop(SessionKey aKey, TimePoint aNow);
   /** Closes a session that a stop or a partition no longer lets this instance serve. */
   void CloseIfLeft(SessionKey aKey, TimePoint aNow);
 
@@ -274,6 +276,11 @@
                      const MemberReply& aReply,
                      TimePoint aNow);
   void NoteRefusal(Operation& aOperation, AnswerCode aCode, TimePoint aNow);
+  /** @return the answer that is true of an operation whose outcome isn't known
+   * @param aWasSent whether a member may have run it */
+  [[nodiscard]] AnswerCode LostAnswerCode(const Operation& aOperation,
+                                          const Session& aSession,
+                                          bool aWasSent) const;
   void LoseOperation(OperationKey aKey, std::string_view aWhy, TimePoint aNow);
   /** Gives up a connection whose answers no longer match what was sent. */
   void AbandonConnection(ConnectionKey aKey, std::string_view aWhy, TimePoint aNow);
--- a/src/libs/proxy/proxycore_errors.cpp
+++ b/src/libs/proxy/proxycore_errors.cpp
@@ -172,16 +172,24 @@
     Requeue(aKey, operation, Duration::zero(), aNow);
     return;
   }
-  if (inTransaction) {
-    const bool mayHaveCommitted = wasSent && transaction && transaction->mWrote &&
-                                  operation.mStatement.mKind == StatementKind::Commit;
-    FailOperation(
-      aKey, mayHaveCommitted ? AnswerCode::Unknown : AnswerCode::Aborted, aWhy, aNow);
-  } else if (operation.mWrites && wasSent) {
-    FailOperation(aKey, AnswerCode::Unknown, aWhy, aNow);
-  } else {
-    FailOperation(aKey, wasSent ? AnswerCode::Timeout : AnswerCode::Busy, aWhy, aNow);
+  FailOperation(aKey, LostAnswerCode(operation, session->second, wasSent), aWhy, aNow);
+}
+
+AnswerCode
+ProxyCore::LostAnswerCode(const Operation& aOperation,
+                          const Session& aSession,
+                          bool aWasSent) const
+{
+  if (InTransaction(aOperation)) {
+    const bool mayHaveCommitted = aWasSent &&
+                                  aOperation.mStatement.mKind == StatementKind::Commit &&
+                                  aSession.mTransaction && aSession.mTransaction->mWrote;
+    return mayHaveCommitted ? AnswerCode::Unknown : AnswerCode::Aborted;
+  }
+  if (!aWasSent) {
+    return AnswerCode::Busy;
   }
+  return aOperation.mWrites ? AnswerCode::Unknown : AnswerCode::Timeout;
 }
 
 void
--- a/src/libs/proxy/proxycore_forwarding.cpp
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -131,19 +131,10 @@
     Forward(aOperation, operation, aNow);
     return;
   }
-  const bool mayHaveCommitted =
-    aWasSent && (inTransaction ? operation.mStatement.mKind == StatementKind::Commit &&
-                                   session.mTransaction && session.mTransaction->mWrote
-                               : operation.mWrites);
-  AnswerCode code = AnswerCode::Busy;
-  if (mayHaveCommitted) {
-    code = AnswerCode::Unknown;
-  } else if (inTransaction) {
-    code = AnswerCode::Aborted;
-  } else if (aWasSent) {
-    code = AnswerCode::Timeout;
-  }
-  FailOperation(aOperation, code, "home did not answer", aNow);
+  FailOperation(aOperation,
+                LostAnswerCode(operation, session, aWasSent),
+                "home did not answer",
+                aNow);
 }
 
 void
--- a/src/libs/proxy/proxycore_sessionlife.cpp
+++ b/src/libs/proxy/proxycore_sessionlife.cpp
@@ -99,6 +99,31 @@
   }
 }
 
+void
+ProxyCore::AnswerBeforeStop(SessionKey aKey, TimePoint aNow)
+{
+  // An answer may start the next statement of the session.
+  auto session = mSessions.find(aKey);
+  while (session != mSessions.end() && session->second.mOperation) {
+    const OperationKey key = *session->second.mOperation;
+    const Operation& operation = mOperations.at(key);
+    const bool isForwarded = operation.mStage == OperationStage::Forwarded;
+    const bool wasSent = isForwarded || operation.mStage == OperationStage::Running;
+    const std::optional<ConnectionKey> connection = operation.mConnection;
+    if (isForwarded) {
+      mHooks.mCancelForward(key);
+    }
+    FailOperation(key,
+                  LostAnswerCode(operation, session->second, wasSent),
+                  "the instance stops",
+                  aNow);
+    if (connection) {
+      Discard(*connection);
+    }
+    session = mSessions.find(aKey);
+  }
+}
+
 void
 ProxyCore::CloseIfLeft(SessionKey aKey, TimePoint aNow)
 {
@@ -126,6 +151,11 @@
                         (isTransactionAtRest && passed >= mSettings.mGrace / 2) ||
                         passed >= mSettings.mGrace - kDrainMargin;
   if (mayClose) {
+    AnswerBeforeStop(aKey, aNow);
+    if (!mSessions.contains(aKey)) {
+      // Its last answer has closed it.
+      return;
+    }
     mHooks.mCloseSession(aKey);
     OnSessionClosed(aKey, aNow);
   }
--- a/tests/auto/proxy/tst_proxysessions.cpp
+++ b/tests/auto/proxy/tst_proxysessions.cpp
@@ -198,6 +198,89 @@
   REQUIRE(fixture.mCore.IsDrained());
 }
 
+// Guards against a planned stop that cuts accepted requests off: each gets the answer
+// that is true of it, before its session ends.
+TEST_CASE("what still waits or runs at the end of the grace is answered")
+{
+  struct Case
+  {
+    const char* mName;
+    StatementKind mKind;
+    bool mIsSent;
+    bool mIsHome;
+    AnswerCode mCode;
+  };
+  const Case cases[] = {
+    { "waiting write", StatementKind::Write, false, true, AnswerCode::Busy },
+    { "running write", StatementKind::Write, true, true, AnswerCode::Unknown },
+    { "running read", StatementKind::Read, true, true, AnswerCode::Timeout },
+    { "forwarded write", StatementKind::Write, true, false, AnswerCode::Unknown },
+    { "forwarded read", StatementKind::Read, true, false, AnswerCode::Timeout },
+  };
+  for (const Case& row : cases) {
+    INFO(row.mName);
+    CoreFixture fixture;
+    fixture.mIsHome = row.mIsHome;
+    if (!row.mIsSent) {
+      fixture.mPermits = [](std::string_view, TimePoint) { return false; };
+    }
+    ProxyConfiguration configuration = CoreFixture::Configuration(2);
+    for (auto& [name, route] : configuration.mRoutes) {
+      route.mStatementTimeout = 20s;
+      route.mLatencyObjective = 20s;
+    }
+    fixture.mCore.OnConfiguration(configuration, fixture.mNow);
+    fixture.mCore.StartDrain(fixture.mNow);
+    // Late enough that no silence of the member is noticed before the end.
+    for (int turn = 0; turn < 51; turn++) {
+      fixture.Advance(100ms);
+    }
+    fixture.Start(1, "main");
+    fixture.Say(1, row.mKind, "item data");
+    if (row.mKind == StatementKind::Read && row.mIsHome) {
+      fixture.Succeed(
+        fixture.Last(CommandKind::Begin).mConnection, kUnsigned, TransactionState::Open);
+    }
+    fixture.Advance(100ms);
+    REQUIRE(fixture.AnswerCount(1) == 0);
+    fixture.Advance(100ms);
+    REQUIRE(fixture.AnswerCount(1) == 1);
+    REQUIRE(fixture.LastAnswer(1).mError == row.mCode);
+    REQUIRE(fixture.mClosedSessions == std::vector<SessionKey>{ 1 });
+    REQUIRE(fixture.mCore.IsDrained());
+  }
+}
+
+TEST_CASE(
+  "a commit that runs at the end of the grace is unknown, a statement before it not")
+{
+  for (const bool isCommit : { false, true }) {
+    INFO(isCommit);
+    CoreFixture fixture;
+    ProxyConfiguration configuration = CoreFixture::Configuration(2);
+    configuration.mRoutes["main"].mStatementTimeout = 20s;
+    configuration.mRoutes["main"].mLatencyObjective = 20s;
+    fixture.mCore.OnConfiguration(configuration, fixture.mNow);
+    fixture.Start(1, "main");
+    fixture.Say(1, StatementKind::Begin);
+    fixture.Say(1, StatementKind::Write, "item data");
+    const ConnectionKey connection = fixture.Last(CommandKind::Begin).mConnection;
+    fixture.Succeed(connection, kUnsigned, TransactionState::Open);
+    if (isCommit) {
+      fixture.Succeed(connection, "signature", TransactionState::Open);
+      fixture.Say(1, StatementKind::Commit);
+    }
+    const std::size_t answered = fixture.AnswerCount(1);
+    fixture.mCore.StartDrain(fixture.mNow);
+    for (int turn = 0; turn < 54; turn++) {
+      fixture.Advance(100ms);
+    }
+    REQUIRE(fixture.AnswerCount(1) == answered + 1);
+    REQUIRE(fixture.LastAnswer(1).mError ==
+            (isCommit ? AnswerCode::Unknown : AnswerCode::Aborted));
+  }
+}
+
 // Guards against clients that stay with an instance in a partitioned zone: they reach a
 // better one only by opening a new connection.
 TEST_CASE("a cut-off instance closes sessions at rest after the balancer has noticed")
