Bound the memory that a reader's answers may take

The smallest machine has 160 MB. Change: answers beyond 8 MB that wait to be sent are refused; those askers read the store. Test: tst_tables ('a reader answers no more large tables than its memory holds').

--- a/src/libs/eventloop/streamtable.h
+++ b/src/libs/eventloop/streamtable.h
@@ -55,8 +55,8 @@
   void CloseAfterFlush(StreamKey aStream);
   /** Sends queued output and reports failures; called once for each turn of the loop. */
   void Flush();
-  /** @return whether output waits to be sent */
-  [[nodiscard]] bool HasOutput() const { return mQueuedBytes > 0; }
+  /** @return bytes that wait to be sent, of all streams */
+  [[nodiscard]] std::size_t QueuedBytes() const { return mQueuedBytes; }
 
   /** @return open streams */
   [[nodiscard]] std::size_t size() const { return mStreams.size(); }
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -99,7 +99,9 @@
     return;
   }
   link->second.mQuestions.erase(aKey);
-  link->second.mSession->SubmitReply(request, EncodeRelayAnswer(aAnswer));
+  std::string bytes = EncodeRelayAnswer(aAnswer);
+  mQueuedRelayBytes += bytes.size();
+  link->second.mSession->SubmitReply(request, std::move(bytes));
   mChanged.insert(stream);
 }
 
@@ -182,6 +184,7 @@
 void
 ForwardServer::Flush()
 {
+  mQueuedRelayBytes = 0;
   std::vector<StreamKey> broken;
   for (const StreamKey stream : std::exchange(mChanged, {})) {
     const auto found = mLinks.find(stream);
--- a/src/libs/forwarding/forwardserver.h
+++ b/src/libs/forwarding/forwardserver.h
@@ -42,6 +42,9 @@
   static bool IsForwarded(proxy::SessionKey aSession);
   /** Answers a question for rows of the store. */
   void AnswerRelay(proxy::RelayKey aKey, const proxy::RelayAnswer& aAnswer);
+  /** @return bytes of answers to questions since the last Flush, which the streams don't
+   * know yet */
+  [[nodiscard]] std::size_t QueuedRelayBytes() const { return mQueuedRelayBytes; }
   /** Answers the statement of a session. */
   void Answer(proxy::SessionKey aSession, const proxy::ClientAnswer& aAnswer);
   /** Hands what is queued to the streams; called once for each turn of the loop. */
@@ -82,6 +85,7 @@
   /** Link and HTTP/2 stream of each unanswered question. */
   std::unordered_map<proxy::RelayKey, std::pair<StreamKey, std::int32_t>> mQuestions;
   proxy::RelayKey mNextQuestion = 1;
+  std::size_t mQueuedRelayBytes = 0;
   /** Links that may have output. */
   std::set<StreamKey> mChanged;
 };
--- a/src/libs/proxy/tables/tablerelay.cpp
+++ b/src/libs/proxy/tables/tablerelay.cpp
@@ -5,8 +5,25 @@
 
 namespace papayaspindle::proxy {
 
-TableRelay::TableRelay(AnswerHook aHook)
-  : mHook(std::move(aHook))
+namespace {
+
+// A small part of the smallest machine's memory (160 MB).
+constexpr std::size_t kMaxQueued = 8U << 20U;
+
+std::size_t
+SizeOf(const RelayAnswer& aAnswer)
+{
+  std::size_t bytes = 0;
+  for (const ChangedRow& change : aAnswer.mRows) {
+    bytes += change.mRow.mKey.size() + change.mRow.mValue.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
+TableRelay::TableRelay(TableRelayHooks aHooks)
+  : mHooks(std::move(aHooks))
 {
 }
 
@@ -37,9 +54,7 @@
   const auto table = mTables.find(aWaiting.mRequest.mTable);
   const auto asOf = table == mTables.end() ? std::nullopt : table->second.mReadAsOf();
   if (!asOf) {
-    RelayAnswer refusal;
-    refusal.mIsRefused = true;
-    mHook(aKey, refusal);
+    Refuse(aKey);
     return true;
   }
   const TableCopy& copy = table->second.mCopy();
@@ -54,13 +69,26 @@
   if (!isWorthTelling && held < aWaiting.mRequest.mWait) {
     return false;
   }
+  const std::size_t bytes = SizeOf(answer);
+  if (bytes > 0 && mHooks.mQueuedBytes() + bytes > kMaxQueued) {
+    Refuse(aKey);
+    return true;
+  }
   answer.mRevision = copy.Revision();
   answer.mAge = aNow - *asOf;
   answer.mHeld = held;
-  mHook(aKey, answer);
+  mHooks.mAnswer(aKey, answer);
   return true;
 }
 
+void
+TableRelay::Refuse(RelayKey aKey)
+{
+  RelayAnswer refusal;
+  refusal.mIsRefused = true;
+  mHooks.mAnswer(aKey, refusal);
+}
+
 void
 TableRelay::OnTable(const std::string& aTable, TimePoint aNow)
 {
--- a/src/libs/proxy/tables/tablerelay.h
+++ b/src/libs/proxy/tables/tablerelay.h
@@ -4,6 +4,7 @@
 #include "proxy/tables/relaymessages.h"
 #include "proxy/tables/tablecopy.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -23,14 +24,24 @@
   std::function<std::optional<TimePoint>()> mReadAsOf;
 };
 
-/** Answers other instances from what this one reads from the store. */
-class TableRelay
+struct TableRelayHooks
 {
-public:
   /** Answers a request; called once for each that wasn't cancelled. */
-  using AnswerHook = std::function<void(RelayKey, const RelayAnswer&)>;
+  std::function<void(RelayKey, const RelayAnswer&)> mAnswer;
+  /** @return bytes of answers that wait to be sent */
+  std::function<std::size_t()> mQueuedBytes;
+};
 
-  explicit TableRelay(AnswerHook aHook);
+/**
+ * Answers other instances from what this one reads from the store.
+ *
+ * A large table that all instances of a zone want at once would fill the memory of their
+ * readers: what goes beyond a limit is refused, and its asker reads the store itself.
+ */
+class TableRelay
+{
+public:
+  explicit TableRelay(TableRelayHooks aHooks);
 
   /** Answers for a table from now on. */
   void AddTable(const std::string& aTable, RelaySource aSource);
@@ -51,10 +62,11 @@
     TimePoint mSince;
   };
 
+  void Refuse(RelayKey aKey);
   /** @return whether the request is answered */
   bool TryAnswer(RelayKey aKey, const Waiting& aWaiting, TimePoint aNow);
 
-  AnswerHook mHook;
+  TableRelayHooks mHooks;
   std::map<std::string, RelaySource> mTables;
   std::map<RelayKey, Waiting> mWaiting;
 };
--- a/tests/auto/proxy/tst_tables.cpp
+++ b/tests/auto/proxy/tst_tables.cpp
@@ -275,8 +275,9 @@
   {
     Node& node = mNodes[aName].mNode;
     node.mFollower = std::make_unique<TableFollower>("op", 4500ms, Hooks(aName));
-    node.mRelay = std::make_unique<TableRelay>(
-      [this](RelayKey aKey, const RelayAnswer& aAnswer) { Answer(aKey, aAnswer); });
+    node.mRelay = std::make_unique<TableRelay>(TableRelayHooks{
+      [this](RelayKey aKey, const RelayAnswer& aAnswer) { Answer(aKey, aAnswer); },
+      [] { return std::size_t{ 0 }; } });
     node.mRelay->AddTable(
       "op",
       { [this, aName]() -> const TableCopy& { return At(aName).mFollower->Copy(); },
@@ -454,6 +455,39 @@
   REQUIRE(other.Revision() == 12);
 }
 
+// Pattern: a configuration of hundreds of kilobytes changes, and all instances of a zone
+// ask their two readers for it at once.
+TEST_CASE("a reader answers no more large tables than its memory holds")
+{
+  constexpr std::size_t kLimit = 8U << 20U;
+  TableCopy copy;
+  StoredRow row = Row("config", 2);
+  row.mValue = std::string(500'000, 'x');
+  copy.Replace(std::vector{ row }, 2);
+  std::size_t queued = 0;
+  std::size_t refused = 0;
+  TableRelay relay({ [&](RelayKey, const RelayAnswer& aAnswer) {
+                      refused += aAnswer.mIsRefused ? 1 : 0;
+                      for (const ChangedRow& change : aAnswer.mRows) {
+                        queued += change.mRow.mValue.size();
+                      }
+                    },
+                     [&] { return queued; } });
+  const TimePoint now{ std::chrono::hours(1) };
+  relay.AddTable(
+    "op",
+    { [&]() -> const TableCopy& { return copy; }, [&] { return std::optional(now); } });
+  for (RelayKey asker = 1; asker <= 100; asker++) {
+    relay.Ask(asker, { "op", 0, {} }, now);
+  }
+  REQUIRE(queued <= kLimit);
+  REQUIRE(refused > 80);
+  // Askers that know the table are answered all the same.
+  refused = 0;
+  relay.Ask(101, { "op", 2, {} }, now);
+  REQUIRE(refused == 0);
+}
+
 TEST_CASE("every instance of a zone names the same two readers, which read themselves")
 {
   const auto instances = Instances(30);
