--- a/src/libs/proxy/tables/relaymessages.h
+++ b/src/libs/proxy/tables/relaymessages.h
@@ -4,6 +4,8 @@
 #include "proxy/tables/tablechanges.h"
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,4 +36,12 @@
   Duration mHeld{};
 };
 
+/** Asks another instance for rows; nothing is answered where it can't be reached. */
+using AskReaderHook =
+  std::function<void(const std::string& aInstance,
+                     const RelayRequest&,
+                     Duration aTimeout,
+                     TimePoint,
+                     std::function<void(const std::optional<RelayAnswer>&)>)>;
+
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/tables/snapshotreader.h
+++ b/src/libs/proxy/tables/snapshotreader.h
@@ -15,13 +15,7 @@
 {
   /** Reads the whole table from the store. */
   std::function<void(TimePoint, std::function<void(const ReadResult&)>)> mRead;
-  /** Asks another instance; nothing is answered where it can't be reached. */
-  std::function<void(const std::string& aInstance,
-                     const RelayRequest&,
-                     Duration aTimeout,
-                     TimePoint,
-                     std::function<void(const std::optional<RelayAnswer>&)>)>
-    mAsk;
+  AskReaderHook mAsk;
   /** @return instances to ask, the preferred one first; none where this instance reads
    * the store itself */
   std::function<std::vector<std::string>()> mReaders;
--- a/src/libs/proxy/tables/tablefollower.h
+++ b/src/libs/proxy/tables/tablefollower.h
@@ -26,13 +26,7 @@
                      TimePoint,
                      std::function<void(const FeedResult&)>)>
     mFeed;
-  /** Asks another instance; nothing is answered where it can't be reached. */
-  std::function<void(const std::string& aInstance,
-                     const RelayRequest&,
-                     Duration aTimeout,
-                     TimePoint,
-                     std::function<void(const std::optional<RelayAnswer>&)>)>
-    mAsk;
+  AskReaderHook mAsk;
   /** @return where the table is read */
   std::function<const ReaderChoice&()> mReaders;
   /** The rows as they are now; after the first read and after each change. */
