--- a/tests/auto/proxy/tst_tables.cpp
+++ b/tests/auto/proxy/tst_tables.cpp
@@ -220,7 +220,7 @@
         }
       });
       // A path that was cut meanwhile swallows the answer.
-      Later(aWait + 800ms, [this, aName, aHook, aWait] {
+      Later(aWait + 800ms, [this, aName, aHook] {
         if (!At(aName).mHasStore) {
           Deliver(aName, {}, [aHook] { aHook(StoreFailure::NoAnswer); });
         }
