Answer waiting questions of a zone without copying them

A reader copied all waiting questions, with their texts, in each turn of its loop, only to erase some of them. They are erased in place. The answer hook never calls the relay. Answers and their order stay as they were.

--- a/src/libs/proxy/tables/tablerelay.cpp
+++ b/src/libs/proxy/tables/tablerelay.cpp
@@ -92,26 +92,20 @@
 void
 TableRelay::OnTable(const std::string& aTable, TimePoint aNow)
 {
-  std::vector<RelayKey> answered;
-  for (const auto& [key, waiting] : std::map(mWaiting)) {
-    if (waiting.mRequest.mTable == aTable && TryAnswer(key, waiting, aNow)) {
-      answered.push_back(key);
-    }
-  }
-  for (const RelayKey key : answered) {
-    mWaiting.erase(key);
-  }
+  std::erase_if(mWaiting, [&](const auto& aEntry) {
+    const auto& [key, waiting] = aEntry;
+    return waiting.mRequest.mTable == aTable && TryAnswer(key, waiting, aNow);
+  });
 }
 
 void
 TableRelay::OnTimer(TimePoint aNow)
 {
-  for (const auto& [key, waiting] : std::map(mWaiting)) {
+  std::erase_if(mWaiting, [&](const auto& aEntry) {
+    const auto& [key, waiting] = aEntry;
     const bool isDue = aNow - waiting.mSince >= waiting.mRequest.mWait;
-    if (isDue && TryAnswer(key, waiting, aNow)) {
-      mWaiting.erase(key);
-    }
-  }
+    return isDue && TryAnswer(key, waiting, aNow);
+  });
 }
 
 TimePoint
--- a/src/libs/proxy/tables/tablerelay.h
+++ b/src/libs/proxy/tables/tablerelay.h
@@ -26,7 +26,8 @@
 
 struct TableRelayHooks
 {
-  /** Answers a request; called once for each that wasn't cancelled. */
+  /** Answers a request; called once for each that wasn't cancelled. It must not call the
+   * relay. */
   std::function<void(RelayKey, const RelayAnswer&)> mAnswer;
   /** @return bytes of answers that wait to be sent */
   std::function<std::size_t()> mQueuedBytes;
