Follow the store's tables through other instances while the store rejects this one

Cause: in deployments of up to 12 instances, each instance reads the store itself. While the store rejects or can't reach single instances, these don't learn of a new leader.

Change: an instance whose store call has failed queries up to four other instances that read the store (own zone first) and probes the store meanwhile. A lease on a new leader needs a read of the store that starts after the request, so FallbackReader asks another instance for such a read; copies aren't accepted. A store that answers one call is tried for the other tables at once.

--- a/src/libs/forwarding/relaycodec.cpp
+++ b/src/libs/forwarding/relaycodec.cpp
@@ -30,6 +30,7 @@
   message.set_table(aRequest.mTable);
   message.set_after(aRequest.mSinceRevision);
   message.set_wait_us(Microseconds(aRequest.mMaxWait));
+  message.set_needs_read(aRequest.mNeedsRead);
   return message.SerializeAsString();
 }
 
@@ -44,6 +45,7 @@
   request.mTable = message.table();
   request.mSinceRevision = message.after();
   request.mMaxWait = std::chrono::microseconds(std::min(message.wait_us(), kMaxWaitUs));
+  request.mNeedsRead = message.needs_read();
   return request;
 }
 
@@ -53,6 +55,7 @@
   v1::RelayReply message;
   message.set_is_refused(aAnswer.mIsRefused);
   message.set_is_full(aAnswer.mIsFull);
+  message.set_is_read(aAnswer.mIsRead);
   message.set_revision(aAnswer.mRevision);
   message.set_age_us(Microseconds(aAnswer.mAge));
   message.set_held_us(Microseconds(aAnswer.mHoldTime));
@@ -76,6 +79,7 @@
   proxy::RelayAnswer answer;
   answer.mIsRefused = message.is_refused();
   answer.mIsFull = message.is_full();
+  answer.mIsRead = message.is_read();
   answer.mRevision = message.revision();
   // Ages and hold times above the limit are treated as equal to it.
   answer.mAge = std::chrono::microseconds(std::min(message.age_us(), kMaxWaitUs));
--- a/src/libs/proxy/tables/relaymessages.h
+++ b/src/libs/proxy/tables/relaymessages.h
@@ -19,6 +19,8 @@
   std::uint64_t mSinceRevision = 0;
   /** How long the reader may hold the request until there is a change. */
   Duration mMaxWait{};
+  /** The reader has to read the whole table from the store for this request. */
+  bool mNeedsRead = false;
 };
 
 /** Answer of a reader to a RelayRequest. */
@@ -29,6 +31,8 @@
   bool mIsRefused = false;
   /** mRows contains all rows of the table instead of the changes. */
   bool mIsFull = false;
+  /** The rows were read from the store after the request had arrived. */
+  bool mIsRead = false;
   std::vector<ChangedRow> mRows;
   /** Revision of the reader's copy of the table. */
   std::uint64_t mRevision = 0;
--- a/src/libs/proxy/tables/tablefollower.cpp
+++ b/src/libs/proxy/tables/tablefollower.cpp
@@ -33,6 +33,10 @@
 constexpr Duration kRefusingReaderExclusion = 500ms;
 // Interval of the checks whether the list of instances is known.
 constexpr Duration kReaderDiscoveryInterval = 250ms;
+// Interval of the probes of the store while substitutes are queried.
+constexpr Duration kProbeInterval = 1s;
+// Time after the end of a feed's wait within which the store answers.
+constexpr Duration kFeedAnswerMargin = 500ms;
 
 } // namespace
 
@@ -56,6 +60,10 @@
 void
 TableFollower::OnTimer(TimePoint aNow)
 {
+  if (aNow >= mProbeAt) {
+    mProbeAt = TimePoint::max();
+    Probe(aNow);
+  }
   if (aNow < mRetryAt) {
     return;
   }
@@ -63,13 +71,29 @@
   Continue(aNow);
 }
 
+void
+TableFollower::OnStoreAnswered(TimePoint aNow)
+{
+  if (!mIsStoreLost) {
+    return;
+  }
+  mStoreRetryAt = aNow;
+  if (mRetryAt != TimePoint::max()) {
+    mRetryAt = aNow;
+  }
+  if (mProbeAt != TimePoint::max()) {
+    mProbeAt = aNow;
+  }
+}
+
 std::optional<std::string>
-TableFollower::AvailableReader(TimePoint aNow) const
+TableFollower::FirstAvailable(const std::vector<std::string>& aInstances,
+                              TimePoint aNow) const
 {
-  for (const std::string& reader : mHooks.mReaders().mReaders) {
-    const auto excluded = mExcludedReaders.find(reader);
+  for (const std::string& instance : aInstances) {
+    const auto excluded = mExcludedReaders.find(instance);
     if (excluded == mExcludedReaders.end() || excluded->second <= aNow) {
-      return reader;
+      return instance;
     }
   }
   return std::nullopt;
@@ -82,10 +106,26 @@
   if (!mIsActive) {
     return;
   }
-  mSentAt = aNow;
-  if (const auto reader = AvailableReader(aNow)) {
+  const ReaderChoice& choice = mHooks.mReaders();
+  if (const auto reader = FirstAvailable(choice.mReaders, aNow)) {
     QueryReader(*reader, aNow);
-  } else if (mHasHistory && !mHooks.mReaders().mIsKnown) {
+    return;
+  }
+  if (mIsStoreLost) {
+    if (const auto substitute = FirstAvailable(choice.mSubstitutes, aNow)) {
+      QueryReader(*substitute, aNow);
+      return;
+    }
+    if (mIsInContact) {
+      mIsInContact = false;
+      mHooks.mOnContactChanged(false);
+    }
+    if (aNow < mStoreRetryAt) {
+      mRetryAt = mStoreRetryAt;
+      return;
+    }
+    Read(aNow);
+  } else if (mHasHistory && !choice.mIsKnown) {
     // When many instances start at once, every change would wake the feeds of all of
     // them.
     mRetryAt = aNow + kReaderDiscoveryInterval;
@@ -115,7 +155,7 @@
 void
 TableFollower::Read(TimePoint aNow)
 {
-  mHooks.mRead(aNow, [this](const ReadResult& aResult) { OnRead(aResult); });
+  mHooks.mRead(aNow, [this, aNow](const ReadResult& aResult) { OnRead(aResult, aNow); });
 }
 
 void
@@ -123,42 +163,88 @@
 {
   const Duration wait =
     mHooks.mReaders().mIsReader ? std::min(mWait, kReaderFeedWait) : mWait;
-  mHooks.mFeed(
-    mCopy.Revision(), wait, aNow, [this](const FeedResult& aResult) { OnFeed(aResult); });
+  mHooks.mFeed(mCopy.Revision(), wait, aNow, [this, aNow](const FeedResult& aResult) {
+    OnFeed(aResult, aNow);
+  });
+}
+
+void
+TableFollower::Probe(TimePoint aNow)
+{
+  if (!mIsActive || !mIsStoreLost || mIsProbing) {
+    return;
+  }
+  mIsProbing = true;
+  mHooks.mRead(aNow,
+               [this, aNow](const ReadResult& aResult) { OnProbed(aResult, aNow); });
 }
 
 TimePoint
-TableFollower::AsOf(std::uint64_t aStoreTimeMs) const
+TableFollower::AsOf(std::uint64_t aStoreTimeMs, TimePoint aSentAt) const
+{
+  return std::max(aSentAt,
+                  mHooks.mEarliestLocalTime(aStoreTimeMs, aSentAt).value_or(aSentAt));
+}
+
+Duration
+TableFollower::MaxRelayedAge() const
 {
-  return std::max(mSentAt,
-                  mHooks.mEarliestLocalTime(aStoreTimeMs, mSentAt).value_or(mSentAt));
+  return std::max<Duration>(kMaxRelayedAge, mWait + kFeedAnswerMargin);
 }
 
 void
-TableFollower::OnRead(const ReadResult& aResult)
+TableFollower::ApplySnapshot(const TableSnapshot& aSnapshot)
 {
-  const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
-  if (snapshot == nullptr) {
-    OnFailure();
-    return;
-  }
   RestoreContact();
+  mIsStoreLost = false;
+  mBackoff = {};
   mIsReadFromStore = true;
   mHasHistory = true;
-  if (mCopy.Replace(snapshot->mRows, snapshot->mRevision)) {
+  if (mCopy.Replace(aSnapshot.mRows, aSnapshot.mRevision)) {
     mHooks.mOnRowsChanged(mCopy.Rows());
   }
-  OnSuccess(AsOf(snapshot->mStoreTimeMs));
 }
 
 void
-TableFollower::OnFeed(const FeedResult& aResult)
+TableFollower::OnRead(const ReadResult& aResult, TimePoint aSentAt)
+{
+  const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
+  if (snapshot == nullptr) {
+    OnStoreFailure();
+    return;
+  }
+  ApplySnapshot(*snapshot);
+  OnSuccess(AsOf(snapshot->mStoreTimeMs, aSentAt));
+}
+
+void
+TableFollower::OnProbed(const ReadResult& aResult, TimePoint aSentAt)
+{
+  mIsProbing = false;
+  if (!mIsStoreLost) {
+    return;
+  }
+  const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
+  if (snapshot == nullptr) {
+    mProbeAt = mHooks.mNow() + kProbeInterval;
+    return;
+  }
+  // The query to a substitute in progress still ends by itself; the store is read after
+  // it.
+  ApplySnapshot(*snapshot);
+  Confirm(AsOf(snapshot->mStoreTimeMs, aSentAt));
+}
+
+void
+TableFollower::OnFeed(const FeedResult& aResult, TimePoint aSentAt)
 {
   if (std::holds_alternative<StoreFailure>(aResult)) {
-    OnFailure();
+    OnStoreFailure();
     return;
   }
   RestoreContact();
+  mIsStoreLost = false;
+  mBackoff = {};
   mIsReadFromStore = true;
   if (std::holds_alternative<HistoryLost>(aResult)) {
     mHasHistory = false;
@@ -171,7 +257,7 @@
   }
   // A long answer may lack some changes.
   const bool isComplete = changes.mRows.size() < kCompleteChangesLimit;
-  OnSuccess(isComplete ? AsOf(changes.mStoreTimeMs) : mAsOf);
+  OnSuccess(isComplete ? AsOf(changes.mStoreTimeMs, aSentAt) : mAsOf);
 }
 
 void
@@ -186,7 +272,7 @@
     aAnswer ? aSentAt + aAnswer->mHoldTime - aAnswer->mAge : TimePoint();
   const bool isUsable = aAnswer && !aAnswer->mIsRefused &&
                         aAnswer->mRevision >= mCopy.Revision() &&
-                        now - asOf < kMaxRelayedAge;
+                        now - asOf < MaxRelayedAge();
   if (!isUsable) {
     const bool isRefused = aAnswer && aAnswer->mIsRefused;
     mExcludedReaders[aReader] =
@@ -196,8 +282,15 @@
     return;
   }
   RestoreContact();
-  mIsReadFromStore = false;
+  const std::vector<std::string>& readers = mHooks.mReaders().mReaders;
+  const bool isReader =
+    std::find(readers.begin(), readers.end(), aReader) != readers.end();
+  // A probe may have reached the store while a substitute held the request.
+  mIsReadFromStore = mIsReadFromStore && !mIsStoreLost && !isReader;
   mHasHistory = true;
+  if (mIsStoreLost && !mIsProbing && mProbeAt == TimePoint::max()) {
+    mProbeAt = std::max(now, mStoreRetryAt);
+  }
   if (mCopy.ApplyAnswer(*aAnswer)) {
     mHooks.mOnRowsChanged(mCopy.Rows());
   }
@@ -205,22 +298,20 @@
 }
 
 void
-TableFollower::OnFailure()
+TableFollower::OnStoreFailure()
 {
+  const TimePoint now = mHooks.mNow();
   const Duration maxBackoff =
     mHooks.mReaders().mReaders.empty() ? kMaxBackoff : kMaxBackoffWithReaders;
   mBackoff = std::clamp(mBackoff * 2, kMinBackoff, maxBackoff);
-  mRetryAt = mHooks.mNow() + mBackoff;
-  if (mIsInContact) {
-    mIsInContact = false;
-    mHooks.mOnContactChanged(false);
-  }
+  mIsStoreLost = true;
+  mStoreRetryAt = now + mBackoff;
+  Continue(now);
 }
 
 void
 TableFollower::RestoreContact()
 {
-  mBackoff = {};
   if (!mIsInContact) {
     mIsInContact = true;
     mHooks.mOnContactChanged(true);
@@ -228,19 +319,26 @@
 }
 
 void
-TableFollower::OnSuccess(TimePoint aAsOf)
+TableFollower::Confirm(TimePoint aAsOf)
 {
   mAsOf = std::max(mAsOf, aAsOf);
   if (mHooks.mOnRowsConfirmed) {
     mHooks.mOnRowsConfirmed(mAsOf);
   }
+}
+
+void
+TableFollower::OnSuccess(TimePoint aAsOf)
+{
+  Confirm(aAsOf);
   Continue(mHooks.mNow());
 }
 
 std::optional<TimePoint>
 TableFollower::ReadAsOf() const
 {
-  const bool isRead = mIsActive && mIsReadFromStore && mIsInContact && mHasHistory;
+  const bool isRead =
+    mIsActive && mIsReadFromStore && mIsInContact && !mIsStoreLost && mHasHistory;
   return isRead ? std::optional(mAsOf) : std::nullopt;
 }
 
--- a/src/libs/proxy/tables/tablefollower.h
+++ b/src/libs/proxy/tables/tablefollower.h
@@ -6,6 +6,7 @@
 #include "proxy/tables/tablechanges.h"
 #include "proxy/tables/tablecopy.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -50,8 +51,10 @@
  * If the zone has readers, they are queried instead of the store, so that the number of
  * calls to the store doesn't grow with the number of instances. A reader that doesn't
  * answer, lags behind or has lost the store is excluded for a while. If no reader is
- * left, the store itself is read. The revision of the copy never decreases, whichever
- * source answers.
+ * left, the store itself is read. While the store doesn't answer either, which may
+ * concern this instance only, other instances that read it are queried as substitutes,
+ * and the store is probed. The revision of the copy never decreases, whichever source
+ * answers.
  */
 class TableFollower
 {
@@ -64,9 +67,13 @@
   /** Starts to follow the table, or stops after the call in progress. */
   void SetActive(bool aIsActive, TimePoint aNow);
   void OnTimer(TimePoint aNow);
-  [[nodiscard]] TimePoint NextTimer() const { return mRetryAt; }
+  /** Probes the store soon, after another call has shown that it answers again. */
+  void OnStoreAnswered(TimePoint aNow);
+  [[nodiscard]] TimePoint NextTimer() const { return std::min(mRetryAt, mProbeAt); }
 
   [[nodiscard]] const std::string& Table() const { return mTable; }
+  /** @return whether the last call to the store has failed */
+  [[nodiscard]] bool IsStoreLost() const { return mIsStoreLost; }
   [[nodiscard]] const TableCopy& Copy() const { return mCopy; }
   /** @return when the copy was known to be the newest; nothing if it isn't read from the
    * store itself or the store is unavailable */
@@ -76,20 +83,30 @@
   void Continue(TimePoint aNow);
   void Read(TimePoint aNow);
   void Feed(TimePoint aNow);
+  /** Reads the store while substitutes are queried. */
+  void Probe(TimePoint aNow);
   void QueryReader(const std::string& aReader, TimePoint aNow);
-  /** @return the first reader that isn't excluded, or nothing if the store is read */
-  [[nodiscard]] std::optional<std::string> AvailableReader(TimePoint aNow) const;
-  void OnRead(const ReadResult& aResult);
-  void OnFeed(const FeedResult& aResult);
+  /** @return the first instance that isn't excluded, or nothing */
+  [[nodiscard]] std::optional<std::string> FirstAvailable(
+    const std::vector<std::string>& aInstances,
+    TimePoint aNow) const;
+  void OnRead(const ReadResult& aResult, TimePoint aSentAt);
+  void OnFeed(const FeedResult& aResult, TimePoint aSentAt);
+  void OnProbed(const ReadResult& aResult, TimePoint aSentAt);
+  void ApplySnapshot(const TableSnapshot& aSnapshot);
   void OnRelayed(const std::string& aReader,
                  const std::optional<RelayAnswer>& aAnswer,
                  TimePoint aSentAt);
-  void OnFailure();
+  void OnStoreFailure();
+  /** @return maximum age of a usable answer of another instance */
+  [[nodiscard]] Duration MaxRelayedAge() const;
   /** Reports that the source answers. Called before the rows are passed on, because they
    * may lack entries that have expired during an outage. */
   void RestoreContact();
+  /** Reports that the copy was known to be the newest at a time. */
+  void Confirm(TimePoint aAsOf);
   void OnSuccess(TimePoint aAsOf);
-  [[nodiscard]] TimePoint AsOf(std::uint64_t aStoreTimeMs) const;
+  [[nodiscard]] TimePoint AsOf(std::uint64_t aStoreTimeMs, TimePoint aSentAt) const;
 
   std::string mTable;
   Duration mWait;
@@ -105,8 +122,13 @@
   /** The last answer came from the store itself. */
   bool mIsReadFromStore = false;
   TimePoint mAsOf;
-  /** When the last call was sent. */
-  TimePoint mSentAt;
+  /** The last call to the store has failed. */
+  bool mIsStoreLost = false;
+  bool mIsProbing = false;
+  /** When the store is probed next while substitutes are queried. */
+  TimePoint mProbeAt = TimePoint::max();
+  /** Earliest time of the next call to the store after a failed one. */
+  TimePoint mStoreRetryAt;
   /** Readers that have failed or refused, with the time until which they are excluded. */
   std::map<std::string, TimePoint> mExcludedReaders;
   Duration mBackoff{};
--- a/src/libs/proxy/tables/tablerelay.cpp
+++ b/src/libs/proxy/tables/tablerelay.cpp
@@ -9,6 +9,8 @@
 
 // Limit of queued answers, a small part of the memory of the smallest machine (160 MB).
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
+// Limit of simultaneous reads of the store on behalf of other instances.
+constexpr std::size_t kMaxReads = 16;
 
 std::size_t
 SizeOf(const RelayAnswer& aAnswer)
@@ -36,6 +38,10 @@
 void
 TableRelay::AddRequest(RelayKey aKey, const RelayRequest& aRequest, TimePoint aNow)
 {
+  if (aRequest.mNeedsRead) {
+    ReadForRequest(aKey, aRequest, aNow);
+    return;
+  }
   const WaitingRequest waiting{ aRequest, aNow };
   if (!TryAnswer(aKey, waiting, aNow)) {
     mWaitingRequests[aKey] = waiting;
@@ -46,6 +52,39 @@
 TableRelay::Cancel(RelayKey aKey)
 {
   mWaitingRequests.erase(aKey);
+  mReadRequests.erase(aKey);
+}
+
+void
+TableRelay::ReadForRequest(RelayKey aKey, const RelayRequest& aRequest, TimePoint aNow)
+{
+  const auto table = mTables.find(aRequest.mTable);
+  // Reads that would probably fail would delay the requester.
+  const bool isReadable = table != mTables.end() && table->second.mRead &&
+                          table->second.mReadAsOf().has_value();
+  if (!isReadable || mReadRequests.size() >= kMaxReads) {
+    Refuse(aKey);
+    return;
+  }
+  mReadRequests.insert(aKey);
+  table->second.mRead(aNow, [this, aKey](const ReadResult& aResult) {
+    if (mReadRequests.erase(aKey) == 0) {
+      return;
+    }
+    const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
+    if (snapshot == nullptr) {
+      Refuse(aKey);
+      return;
+    }
+    RelayAnswer answer;
+    answer.mIsFull = true;
+    answer.mIsRead = true;
+    answer.mRevision = snapshot->mRevision;
+    for (const StoredRow& row : snapshot->mRows) {
+      answer.mRows.push_back({ row, false });
+    }
+    mHooks.mAnswer(aKey, answer);
+  });
 }
 
 bool
--- a/src/libs/proxy/tables/tablerelay.h
+++ b/src/libs/proxy/tables/tablerelay.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   /** @return when the copy was known to be the newest; nothing while it isn't read from
    * the store */
   std::function<std::optional<TimePoint>()> mReadAsOf;
+  /** Reads the whole table from the store. Empty if reads for other instances are not
+   * supported. */
+  std::function<void(TimePoint, std::function<void(const ReadResult&)>)> mRead;
 };
 
 /** Functions that a table relay depends on. */
@@ -71,12 +75,16 @@
   };
 
   void Refuse(RelayKey aKey);
+  /** Reads the table of a request that needs a read of the store, and answers it. */
+  void ReadForRequest(RelayKey aKey, const RelayRequest& aRequest, TimePoint aNow);
   /** @return whether the request is answered */
   bool TryAnswer(RelayKey aKey, const WaitingRequest& aWaiting, TimePoint aNow);
 
   TableRelayHooks mHooks;
   std::map<std::string, RelaySource> mTables;
   std::map<RelayKey, WaitingRequest> mWaitingRequests;
+  /** Requests for which the store is being read. */
+  std::set<RelayKey> mReadRequests;
 };
 
 } // namespace papayaspindle::proxy
--- a/tests/auto/proxy/leadershipsimulation.h
+++ b/tests/auto/proxy/leadershipsimulation.h
@@ -147,6 +147,9 @@
   std::map<std::string, Instance> mInstances;
   bool mHasClients = true;
   double mLostAnswerShare = 0;
+  /** Instances that can't reach the store receive its rows through another instance that
+   * can. */
+  bool mReadsThroughOthers = false;
   double mLateEffectShare = 0;
   /** Pairs of members that are disconnected from each other. */
   std::set<std::pair<std::string, std::string>> mDisconnectedPairs;
@@ -388,6 +391,13 @@
     }
   }
 
+  bool IsAnyReachingStore() const
+  {
+    return std::any_of(mInstances.begin(), mInstances.end(), [](const auto& aInstance) {
+      return aInstance.second.mReachesStore && !aInstance.second.mIsFrozen;
+    });
+  }
+
   std::vector<StoredRow> Rows() const
   {
     std::vector<StoredRow> rows;
@@ -418,6 +428,11 @@
           if (reader.mReachesStore) {
             DeliverRows(reader, rows);
             reader.mLeases->OnStoreContact(mNow - 10ms);
+          } else if (mReadsThroughOthers && IsAnyReachingStore()) {
+            DeliverAnswer(name, reader.mProcessNumber, 10ms, [this, name, rows] {
+              DeliverRows(mInstances[name], rows);
+              mInstances[name].mLeases->OnStoreContact(mNow - 20ms);
+            });
           }
         });
     }
@@ -596,10 +611,15 @@
     };
     hooks.mQueryStatus = Hooks(aName, aProcess).mSendCommand;
     hooks.mReadStore = [this, aName, aProcess](TimePoint aNow) {
+      Duration delay = 3ms;
       if (!mInstances[aName].mReachesStore) {
-        return;
+        // Another instance may read the store on behalf of this one.
+        if (!mReadsThroughOthers || !IsAnyReachingStore()) {
+          return;
+        }
+        delay = 1ms * std::uniform_int_distribution<int>(5, 400)(mRandom);
       }
-      Schedule(3ms, [this, aName, aProcess, aNow] {
+      Schedule(delay, [this, aName, aProcess, aNow] {
         DeliverAnswer(aName, aProcess, 3ms, [this, aName, aNow, rows = Rows()] {
           DeliverRows(mInstances[aName], rows);
           mInstances[aName].mLeases->OnStoreRead(aNow);
--- a/tests/auto/proxy/tst_leadershipexploration.cpp
+++ b/tests/auto/proxy/tst_leadershipexploration.cpp
@@ -109,11 +109,14 @@
 }
 
 void
-CheckInvariants(std::uint64_t aSeed)
+CheckInvariants(std::uint64_t aSeed,
+                double aLostAnswerShare = 0.25,
+                bool aReadsThroughOthers = false)
 {
   INFO("seed " << aSeed);
   LeadershipSimulation simulation(3, aSeed);
-  simulation.mLostAnswerShare = 0.25;
+  simulation.mReadsThroughOthers = aReadsThroughOthers;
+  simulation.mLostAnswerShare = aLostAnswerShare;
   simulation.mLateEffectShare = 0.5;
   for (int step = 0; step < kSteps; step++) {
     InjectFaults(simulation);
@@ -139,6 +142,19 @@
   }
 }
 
+// Guards against leases that an instance without the store obtains through another one
+// for a leader that has been replaced meanwhile.
+TEST_CASE("clients use one leader while instances read the store through each other")
+{
+  constexpr double kLostAnswerShare = 0.4;
+  const std::uint64_t first = NumberFromEnvironment("PAPAYASPINDLE_EXPLORATION_SEED", 1);
+  const std::uint64_t runs =
+    NumberFromEnvironment("PAPAYASPINDLE_EXPLORATION_RUNS", kDefaultRuns);
+  for (std::uint64_t seed = first; seed < first + runs; seed++) {
+    CheckInvariants(seed, kLostAnswerShare, true);
+  }
+}
+
 // Seeds that have revealed faults: a renewed claim that dropped the pending member (24),
 // a withdrawal by another instance that was mistaken for an own row (51), a promoted
 // leader of an older term (55), a claim whose outcome the feed missed (71), a replaced
--- a/tests/auto/proxy/tst_tables.cpp
+++ b/tests/auto/proxy/tst_tables.cpp
@@ -2,6 +2,7 @@
 // copies never go back to an older revision, and which source is used when a reader dies,
 // freezes, lags behind or loses the store.
 
+#include "proxy/tables/fallbackreader.h"
 #include "proxy/tables/readerchoice.h"
 #include "proxy/tables/snapshotreader.h"
 #include "proxy/tables/tablecopy.h"
@@ -56,9 +57,9 @@
     for (const char* name : { "reader-1", "reader-2", "follower" }) {
       AddNode(name);
     }
-    mNodes["reader-1"].mChoice = { true, true, {} };
-    mNodes["reader-2"].mChoice = { true, true, {} };
-    mNodes["follower"].mChoice = { true, false, { "reader-1", "reader-2" } };
+    mNodes["reader-1"].mChoice = { true, true, {}, {} };
+    mNodes["reader-2"].mChoice = { true, true, {}, {} };
+    mNodes["follower"].mChoice = { true, false, { "reader-1", "reader-2" }, {} };
     for (auto& [name, node] : mNodes) {
       node.mNode.mFollower->SetActive(true, mNow);
     }
@@ -287,7 +288,8 @@
     node.mRelay->AddTable(
       "op",
       { [this, aName]() -> const TableCopy& { return NodeOf(aName).mFollower->Copy(); },
-        [this, aName] { return NodeOf(aName).mFollower->ReadAsOf(); } });
+        [this, aName] { return NodeOf(aName).mFollower->ReadAsOf(); },
+        nullptr });
   }
 
   std::map<std::string, Entry> mNodes;
@@ -432,13 +434,186 @@
   simulation.ReaderChoiceOf("follower") = {};
   simulation.Run(3s);
   REQUIRE(simulation.NodeOf("follower").mStoreCalls <= 2);
-  simulation.ReaderChoiceOf("follower") = { true, false, { "reader-1", "reader-2" } };
+  simulation.ReaderChoiceOf("follower") = { true, false, { "reader-1", "reader-2" }, {} };
   const TimePoint written = simulation.mNow;
   simulation.Write("config");
   simulation.Run(1s);
   REQUIRE(simulation.PropagationDelay("follower", 2, written) < 500ms);
 }
 
+// Guards against a store that rejects single instances: until it answers them again, they
+// would not notice a new leader, and refuse statements that need it.
+TEST_CASE("an instance that the store rejects receives changes through another instance")
+{
+  RelaySimulation simulation;
+  // A small deployment, in which every instance reads the store itself.
+  simulation.ReaderChoiceOf("follower") = { true, false, {}, { "reader-1", "reader-2" } };
+  simulation.Run(6s);
+  simulation.NodeOf("follower").mReachesStore = false;
+  simulation.NodeOf("reader-1").mReachesStore = false;
+  simulation.Run(6s);
+  const TimePoint written = simulation.mNow;
+  simulation.Write("config");
+  simulation.Run(1s);
+  REQUIRE(simulation.PropagationDelay("follower", 2, written) < 100ms);
+  // The copy is current, so the loss of the store isn't reported as a loss of contact.
+  REQUIRE(simulation.NodeOf("follower").mContactChanges.empty());
+  // It must not be passed on as if it had been read from the store.
+  REQUIRE_FALSE(simulation.NodeOf("follower").mFollower->ReadAsOf());
+
+  simulation.NodeOf("follower").mReachesStore = true;
+  simulation.Run(4s);
+  REQUIRE_FALSE(simulation.NodeOf("follower").mFollower->IsStoreLost());
+  const std::size_t queries = simulation.mReaderQueries;
+  simulation.Run(10s);
+  REQUIRE(simulation.mReaderQueries == queries);
+}
+
+TEST_CASE("an instance that has found the store again uses it within a second of a hint")
+{
+  RelaySimulation simulation;
+  for (const char* name : { "reader-1", "reader-2", "follower" }) {
+    simulation.ReaderChoiceOf(name) = { true, false, {}, {} };
+  }
+  simulation.ReaderChoiceOf("follower").mSubstitutes = { "reader-1", "reader-2" };
+  simulation.Run(6s);
+  for (const char* name : { "reader-1", "reader-2", "follower" }) {
+    simulation.NodeOf(name).mReachesStore = false;
+  }
+  simulation.Run(10s);
+  TableFollower& follower = *simulation.NodeOf("follower").mFollower;
+  REQUIRE(follower.IsStoreLost());
+  simulation.NodeOf("follower").mReachesStore = true;
+  follower.OnStoreAnswered(simulation.mNow);
+  simulation.Run(1s);
+  REQUIRE_FALSE(follower.IsStoreLost());
+}
+
+namespace {
+
+/** Runs one read of a fallback reader with a store that answers or not, and substitutes
+ * with the given answers. */
+struct FallbackRead
+{
+  FallbackRead(bool aIsStoreLost, std::map<std::string, RelayAnswer> aAnswers)
+  {
+    FallbackReaderHooks hooks;
+    hooks.mRead = [this](TimePoint, std::function<void(const ReadResult&)> aHook) {
+      mDirectReads++;
+      mNow += 900ms;
+      aHook(StoreFailure::NoAnswer);
+    };
+    hooks.mQueryReader =
+      [this, aAnswers](const std::string& aInstance,
+                       const RelayRequest& aRequest,
+                       Duration,
+                       TimePoint,
+                       std::function<void(const std::optional<RelayAnswer>&)> aHook) {
+        mRequestedReads += aRequest.mNeedsRead ? 1 : 0;
+        mNow += 10ms;
+        aHook(aAnswers.at(aInstance));
+      };
+    hooks.mSubstitutes = [] { return std::vector<std::string>{ "first", "second" }; };
+    hooks.mIsStoreLost = [aIsStoreLost] { return aIsStoreLost; };
+    hooks.mNow = [this] { return mNow; };
+    FallbackReader reader("leadership", hooks);
+    reader.Read(mNow,
+                [this](const ReadResult& aResult, TimePoint aSentAt, bool aIsDirect) {
+                  mResult = aResult;
+                  mSentAt = aSentAt;
+                  mIsDirect = aIsDirect;
+                });
+  }
+
+  TimePoint mNow{ std::chrono::hours(1) };
+  std::size_t mDirectReads = 0;
+  std::size_t mRequestedReads = 0;
+  ReadResult mResult = StoreFailure::Refused;
+  TimePoint mSentAt;
+  bool mIsDirect = false;
+};
+
+RelayAnswer
+AnswerOfRead(std::uint64_t aRevision, bool aIsRead)
+{
+  RelayAnswer answer;
+  answer.mIsFull = true;
+  answer.mIsRead = aIsRead;
+  answer.mRevision = aRevision;
+  answer.mRows.push_back({ Row("leader", aRevision), false });
+  return answer;
+}
+
+} // namespace
+
+// Guards against a lease that is based on the copy of another instance, which may be
+// older than a claim.
+TEST_CASE("a read through another instance requires a read of the store by that instance")
+{
+  const TimePoint start{ std::chrono::hours(1) };
+  SECTION("a copy isn't accepted, and the next instance is queried")
+  {
+    const FallbackRead read(
+      true, { { "first", AnswerOfRead(9, false) }, { "second", AnswerOfRead(7, true) } });
+    REQUIRE(read.mDirectReads == 0);
+    REQUIRE(read.mRequestedReads == 2);
+    REQUIRE(std::get<TableSnapshot>(read.mResult).mRevision == 7);
+    // The rows were read after the request to the second instance was sent.
+    REQUIRE(read.mSentAt == start + 10ms);
+    REQUIRE_FALSE(read.mIsDirect);
+  }
+  SECTION("a failed read of the store doesn't count as the time of the later one")
+  {
+    const FallbackRead read(
+      false, { { "first", AnswerOfRead(7, true) }, { "second", AnswerOfRead(7, true) } });
+    REQUIRE(read.mDirectReads == 1);
+    REQUIRE(read.mSentAt == start + 900ms);
+  }
+  SECTION("no instance can read the store")
+  {
+    RelayAnswer refusal;
+    refusal.mIsRefused = true;
+    const FallbackRead read(true, { { "first", refusal }, { "second", refusal } });
+    REQUIRE(std::holds_alternative<StoreFailure>(read.mResult));
+  }
+}
+
+TEST_CASE("a relay reads the store for a request that needs it, or refuses")
+{
+  TableCopy copy;
+  copy.Replace(std::vector{ Row("leader", 3) }, 3);
+  std::optional<TimePoint> readAsOf{ std::chrono::hours(1) };
+  std::vector<std::function<void(const ReadResult&)>> reads;
+  std::vector<RelayAnswer> answers;
+  TableRelay relay(
+    { [&](RelayKey, const RelayAnswer& aAnswer) { answers.push_back(aAnswer); },
+      [] { return std::size_t{ 0 }; } });
+  relay.AddTable("leadership",
+                 { [&]() -> const TableCopy& { return copy; },
+                   [&] { return readAsOf; },
+                   [&](TimePoint, std::function<void(const ReadResult&)> aHook) {
+                     reads.push_back(std::move(aHook));
+                   } });
+  RelayRequest request;
+  request.mTable = "leadership";
+  request.mNeedsRead = true;
+  relay.AddRequest(1, request, *readAsOf);
+  REQUIRE(answers.empty());
+  reads.at(0)(TableSnapshot{ std::vector{ Row("leader", 8) }, 8, 0 });
+  REQUIRE(answers.at(0).mIsRead);
+  REQUIRE(answers.at(0).mRevision == 8);
+  relay.AddRequest(2, request, *readAsOf);
+  reads.at(1)(StoreFailure::NoAnswer);
+  REQUIRE(answers.at(1).mIsRefused);
+  relay.AddRequest(3, request, *readAsOf);
+  relay.Cancel(3);
+  reads.at(2)(TableSnapshot{ std::vector{ Row("leader", 9) }, 9, 0 });
+  REQUIRE(answers.size() == 2);
+  readAsOf.reset();
+  relay.AddRequest(4, request, TimePoint(std::chrono::hours(1)));
+  REQUIRE(answers.at(2).mIsRefused);
+}
+
 TEST_CASE("a copy returns the changes after a revision, including removals, or all rows")
 {
   TableCopy copy;
@@ -484,17 +659,18 @@
                     },
                      [&] { return queuedBytes; } });
   const TimePoint now{ std::chrono::hours(1) };
-  relay.AddTable(
-    "op",
-    { [&]() -> const TableCopy& { return copy; }, [&] { return std::optional(now); } });
+  relay.AddTable("op",
+                 { [&]() -> const TableCopy& { return copy; },
+                   [&] { return std::optional(now); },
+                   nullptr });
   for (RelayKey requester = 1; requester <= 100; requester++) {
-    relay.AddRequest(requester, { "op", 0, {} }, now);
+    relay.AddRequest(requester, { "op", 0, {}, false }, now);
   }
   REQUIRE(queuedBytes <= kLimit);
   REQUIRE(refused > 80);
   // Requesters with a current copy are still answered.
   refused = 0;
-  relay.AddRequest(101, { "op", 2, {} }, now);
+  relay.AddRequest(101, { "op", 2, {}, false }, now);
   REQUIRE(refused == 0);
 }
 
@@ -557,7 +733,7 @@
   REQUIRE(reads == 1);
   REQUIRE(rows == 1);
   REQUIRE(reader.ReadAsOf());
-  relayAnswer = RelayAnswer{ false, false, { { Row("b", 6), false } }, 6, {}, {} };
+  relayAnswer = RelayAnswer{ false, false, false, { { Row("b", 6), false } }, 6, {}, {} };
   reader.Read({}, countRows);
   REQUIRE(reads == 1);
   REQUIRE(rows == 2);
@@ -573,3 +749,25 @@
   reader.Read({}, countRows);
   REQUIRE(reads == 3);
 }
+
+TEST_CASE("instances that read the store stand in for one that can't reach it")
+{
+  SECTION("in a small deployment, any other instance")
+  {
+    const auto instances = Instances(9);
+    const ReaderChoice choice = ChooseReaders("instance-0", instances);
+    REQUIRE_FALSE(choice.mSubstitutes.empty());
+    REQUIRE(std::find(choice.mSubstitutes.begin(),
+                      choice.mSubstitutes.end(),
+                      "instance-0") == choice.mSubstitutes.end());
+  }
+  SECTION("in a large one, readers of other zones")
+  {
+    const auto instances = Instances(30);
+    const ReaderChoice choice = ChooseReaders("instance-0", instances);
+    REQUIRE_FALSE(choice.mSubstitutes.empty());
+    for (const std::string& substitute : choice.mSubstitutes) {
+      REQUIRE(ChooseReaders(substitute, instances).mIsReader);
+    }
+  }
+}
