Choose four homes for each group at any number of instances

Cause: up to 12 instances each held connections to every member.

Change: the limit of 12 goes; rendezvous hashing chooses four homes for each group, one in each zone first, and the others forward to them, as in large deployments.

The test that pinned 'every instance is a home up to 12' is replaced by one that requires four homes in all zones at 6 to 60 instances.

--- a/src/libs/proxy/hometable.cpp
+++ b/src/libs/proxy/hometable.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-// Up to this number of instances can share the slots of a member without forwarding.
-constexpr std::size_t kMaxDirectInstances = 12;
-// In deployments of up to four zones, each zone has at least one home; with three zones,
-// the fourth home is a spare for the loss of another.
+// Members have few slots and connections, and still count the connections of lost
+// instances for some seconds. Fewer holders share them without refusals and order waiting
+// statements of more clients. In deployments of up to four zones, each zone has at least
+// one home; with three zones, the fourth home is a spare for the loss of another.
 constexpr std::size_t kHomesPerGroup = 4;
 // Time for which a lost home is avoided, doubling with each further loss up to the
 // maximum: in large deployments, a failed instance stays listed for minutes.
@@ -78,9 +78,6 @@
 bool
 HomeTable::IsHome(std::string_view aGroup, const std::string& aInstance) const
 {
-  if (mInstances.size() <= kMaxDirectInstances) {
-    return mInstances.contains(aInstance);
-  }
   const std::vector<std::string>& homes = HomesOf(aGroup);
   return std::find(homes.begin(), homes.end(), aInstance) != homes.end();
 }
@@ -88,9 +85,7 @@
 std::uint32_t
 HomeTable::HomeCount(std::string_view aGroup) const
 {
-  const std::size_t count =
-    mInstances.size() <= kMaxDirectInstances ? mInstances.size() : HomesOf(aGroup).size();
-  return static_cast<std::uint32_t>(std::max<std::size_t>(count, 1));
+  return static_cast<std::uint32_t>(std::max<std::size_t>(HomesOf(aGroup).size(), 1));
 }
 
 bool
--- a/src/libs/proxy/hometable.h
+++ b/src/libs/proxy/hometable.h
@@ -33,8 +33,7 @@
  * Determines which instances hold connections to the members of a database group (the
  * group's home instances, or homes).
  *
- * In a small deployment, every instance is a home of every group. In a larger one,
- * rendezvous hashing chooses a few homes for each group, and the other instances forward
+ * Rendezvous hashing chooses a few homes for each group, and the other instances forward
  * their statements to them. Members then hold few connections, and few queues share the
  * members' slots.
  */
--- a/src/libs/proxy/tables/readerchoice.cpp
+++ b/src/libs/proxy/tables/readerchoice.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kReadersPerZone = 2;
 // A failure of the store for single instances rarely concerns all of these. During an
 // outage for all instances, each of them sends this many requests per retry.
-constexpr std::size_t kMaxSubstitutes = 4;
+constexpr std::size_t kMaxSubstitutes = 6;
 
 using RankedInstances = std::vector<std::tuple<double, std::uint64_t, std::string>>;
 
--- a/tests/auto/proxy/tst_instances.cpp
+++ b/tests/auto/proxy/tst_instances.cpp
@@ -70,27 +70,36 @@
 
 } // namespace
 
-TEST_CASE(
-  "every instance is a home in a small deployment; a group has four homes in a large one")
+// Guards against the pattern after a loss of all instances: members still count the lost
+// connections for seconds, and instances that each want some of the rest are refused
+// while slots are idle. Few holders have to leave room for as many connections again.
+TEST_CASE("a group has four homes, at least one in each zone, at any number of instances")
 {
-  HomeTable few("i0", "zone-0");
-  few.SetInstances(MakeInstances(9));
-  REQUIRE(few.IsHome("group"));
-  REQUIRE(few.HomeCount("group") == 9);
-
-  const auto instances = MakeInstances(60);
-  std::size_t homes = 0;
-  std::set<std::string> zones;
-  for (const RegisteredInstance& instance : instances) {
-    HomeTable table(instance.mInstance, instance.mZone);
-    table.SetInstances(instances);
-    if (table.IsHome("group")) {
-      homes++;
-      zones.insert(instance.mZone);
+  for (const std::size_t count : { 6, 9, 12, 60 }) {
+    INFO(count << " instances");
+    const auto instances = MakeInstances(count);
+    std::size_t homes = 0;
+    std::set<std::string> zones;
+    for (const RegisteredInstance& instance : instances) {
+      HomeTable table(instance.mInstance, instance.mZone);
+      table.SetInstances(instances);
+      REQUIRE(table.HomeCount("group") == 4);
+      if (table.IsHome("group")) {
+        homes++;
+        zones.insert(instance.mZone);
+      }
     }
+    REQUIRE(homes == 4);
+    REQUIRE(zones.size() == 3);
   }
-  REQUIRE(homes == 4);
-  REQUIRE(zones.size() == 3);
+}
+
+TEST_CASE("every instance is a home if there are no more than homes of a group")
+{
+  HomeTable table("i0", "zone-0");
+  table.SetInstances(MakeInstances(3));
+  REQUIRE(table.IsHome("group"));
+  REQUIRE(table.HomeCount("group") == 3);
 }
 
 TEST_CASE("an instance prefers the home in its zone and avoids a lost home for a while")
