Detect suspended homes by pings, and end transactions that were given up

Cause: a suspended home keeps its connections open, and a timed-out statement didn't make other homes preferred, so everything forwarded to it was lost for as long as it was suspended.

Change: HomeMonitor pings a home that owes answers and has sent nothing for 100 ms; without an answer in 150 ms, other homes are preferred and single reads move there. Writes and transactions wait for their answer, so no work runs twice. A home rolls back an open transaction when its session sends a statement outside of it, and an entry instance ends the transaction at the home after a timeout.

--- /dev/null
+++ b/src/libs/proxy/homemonitor.cpp
@@ -0,0 +1,123 @@
+#include "proxy/homemonitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaspindle::proxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kCheckInterval = 50ms;
+// Most statements are answered within this time.
+constexpr Duration kSilenceBeforePing = 100ms;
+// Many round trips within a region, and the turn of the event loop of a busy instance.
+constexpr Duration kPingTimeout = 150ms;
+// Interval of the pings to an unresponsive home.
+constexpr Duration kRetryInterval = 250ms;
+
+} // namespace
+
+HomeMonitor::HomeMonitor(HomeMonitorHooks aHooks)
+  : mHooks(std::move(aHooks))
+{
+}
+
+void
+HomeMonitor::OnSent(const std::string& aHome, TimePoint aNow)
+{
+  Home& home = mHomes[aHome];
+  if (home.mUnanswered++ == 0) {
+    home.mSilentSince = aNow;
+  }
+}
+
+void
+HomeMonitor::OnFinished(const std::string& aHome)
+{
+  Home& home = mHomes[aHome];
+  home.mUnanswered -= std::min<std::size_t>(home.mUnanswered, 1);
+}
+
+void
+HomeMonitor::OnResponse(const std::string& aHome, TimePoint aNow)
+{
+  const auto found = mHomes.find(aHome);
+  if (found == mHomes.end()) {
+    return;
+  }
+  found->second.mSilentSince = aNow;
+  found->second.mPingedAt.reset();
+  SetResponsive(aHome, found->second, true);
+}
+
+void
+HomeMonitor::OnDisconnected(const std::string& aHome)
+{
+  const auto found = mHomes.find(aHome);
+  if (found == mHomes.end()) {
+    return;
+  }
+  // The failure of its statements makes other homes preferred.
+  found->second.mPingedAt.reset();
+  SetResponsive(aHome, found->second, true);
+}
+
+void
+HomeMonitor::OnTimer(TimePoint aNow)
+{
+  if (aNow < mNextCheck) {
+    return;
+  }
+  mNextCheck = aNow + kCheckInterval;
+  for (auto& [name, home] : mHomes) {
+    if (!home.mIsResponsive) {
+      if (!home.mPingedAt || aNow - *home.mPingedAt >= kRetryInterval) {
+        home.mPingedAt = aNow;
+        mHooks.mPing(name);
+      }
+      continue;
+    }
+    if (home.mUnanswered == 0 || aNow - home.mSilentSince < kSilenceBeforePing) {
+      continue;
+    }
+    if (!home.mPingedAt) {
+      home.mPingedAt = aNow;
+      mHooks.mPing(name);
+    } else if (aNow - *home.mPingedAt >= kPingTimeout) {
+      SetResponsive(name, home, false);
+    }
+  }
+}
+
+TimePoint
+HomeMonitor::NextTimer() const
+{
+  const bool isNeeded = std::any_of(mHomes.begin(), mHomes.end(), [](const auto& aHome) {
+    return aHome.second.mUnanswered > 0 || !aHome.second.mIsResponsive;
+  });
+  return isNeeded ? mNextCheck : TimePoint::max();
+}
+
+bool
+HomeMonitor::IsResponsive(const std::string& aHome) const
+{
+  const auto found = mHomes.find(aHome);
+  return found == mHomes.end() || found->second.mIsResponsive;
+}
+
+void
+HomeMonitor::SetResponsive(const std::string& aName, Home& aHome, bool aIsResponsive)
+{
+  if (aHome.mIsResponsive == aIsResponsive) {
+    return;
+  }
+  aHome.mIsResponsive = aIsResponsive;
+  mHooks.mLog(aIsResponsive ? LogLevel::Info : LogLevel::Warning,
+              aIsResponsive ? "home_responsive" : "home_unresponsive",
+              { { "home", aName }, { "unanswered", std::to_string(aHome.mUnanswered) } });
+  mHooks.mOnChanged(aName, aIsResponsive);
+}
+
+} // namespace papayaspindle::proxy
--- a/src/libs/proxy/hometable.cpp
+++ b/src/libs/proxy/hometable.cpp
@@ -116,7 +116,8 @@
       continue;
     }
     const auto avoided = mAvoided.find(home);
-    const bool isAvoided = avoided != mAvoided.end() && avoided->second.mUntil > aNow;
+    const bool isAvoided = mUnresponsive.contains(home) ||
+                           (avoided != mAvoided.end() && avoided->second.mUntil > aNow);
     const auto instance = mInstances.find(home);
     const bool isNear = instance != mInstances.end() && instance->second.mZone == mZone;
     // The hash spreads the instances of one zone over the homes in other zones.
@@ -164,4 +165,14 @@
   mAvoided.erase(aInstance);
 }
 
+void
+HomeTable::SetResponsive(const std::string& aInstance, bool aIsResponsive)
+{
+  if (aIsResponsive) {
+    mUnresponsive.erase(aInstance);
+  } else {
+    mUnresponsive.insert(aInstance);
+  }
+}
+
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/hometable.h
+++ b/src/libs/proxy/hometable.h
@@ -75,6 +75,8 @@
   void Avoid(const std::string& aInstance, TimePoint aNow);
   /** Ends the avoidance of a home that has answered. */
   void OnAnswer(const std::string& aInstance);
+  /** Makes PickHome prefer other homes while the given home is unresponsive. */
+  void SetResponsive(const std::string& aInstance, bool aIsResponsive);
   /** @return whether this instance is a home of each of the groups */
   [[nodiscard]] bool IsHomeOfAll(std::span<const std::string> aGroups) const;
   /** @return whether this instance is a home of any of the groups */
@@ -94,6 +96,7 @@
   HomeRanking mRanking;
   std::map<std::string, RegisteredInstance, std::less<>> mInstances;
   std::map<std::string, Avoidance> mAvoided;
+  std::set<std::string> mUnresponsive;
   /** Homes by group; computed on first use. */
   mutable std::map<std::string, std::vector<std::string>, std::less<>> mHomes;
 };
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -75,6 +75,9 @@
    * @param aWasSent whether the home may have received the statement
    */
   void OnForwardFailed(OperationKey aOperation, bool aWasSent, TimePoint aNow);
+  /** Forwards the reads that an unresponsive home has not answered to other homes. All
+   * other statements continue to wait for their answer. */
+  void OnHomeUnresponsive(std::string_view aHome, TimePoint aNow);
 
   // Control
 
--- a/src/libs/proxy/proxycore_forwarding.cpp
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -140,6 +140,24 @@
                 aNow);
 }
 
+void
+ProxyCore::OnHomeUnresponsive(std::string_view aHome, TimePoint aNow)
+{
+  std::vector<OperationKey> reads;
+  for (const auto& [key, operation] : mOperations) {
+    // A write or a transaction may still continue at its home, and must not run twice.
+    const bool isRepeatable = operation.mPurpose == OperationPurpose::SingleRead;
+    if (operation.mStage == OperationStage::Forwarded && operation.mHome == aHome &&
+        isRepeatable && operation.mRefusedHomes.size() + 1 < kMaxHomeAttempts) {
+      reads.push_back(key);
+    }
+  }
+  for (const OperationKey key : reads) {
+    mHooks.mCancelForward(key);
+    OnForwardFailed(key, true, aNow);
+  }
+}
+
 void
 ProxyCore::OnForwardedStatement(SessionKey aSession,
                                 ForwardedStatement aStatement,
@@ -162,8 +180,13 @@
     EndForwardedSession(aSession);
     return;
   }
-  if (isFirst) {
+  if (!isNext) {
+    // The entry instance may have given up an earlier transaction just before its answer
+    // arrived.
     ReleaseTransaction(aSession, session, aNow);
+    session.mState = TransactionState::Idle;
+  }
+  if (isFirst) {
     session.mState = TransactionState::Open;
     session.mTransaction =
       ClientTransaction{ aStatement.mMayWrite, false, std::nullopt, {} };
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -309,6 +309,10 @@
   }
   if (operation.mStage == OperationStage::Forwarded) {
     mHooks.mCancelForward(aKey);
+    if (InTransaction(operation)) {
+      // The home may have answered already, and then holds the transaction open.
+      mHooks.mEndForwardedTransaction(operation.mHome, operation.mSession);
+    }
     OnForwardFailed(aKey, true, aNow);
     return;
   }
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -245,6 +245,10 @@
   std::vector<SessionKey> mClosedSessions;
   std::vector<SessionKey> mWelcomed;
   std::vector<std::pair<OperationKey, ForwardedStatement>> mForwarded;
+  /** Home to which each statement of mForwarded was sent. */
+  std::vector<std::string> mForwardedHomes;
+  /** Number of transactions that were ended at their homes. */
+  std::size_t mEndedTransactions = 0;
   bool mIsHome = true;
   /** Whether the instance holds a lease on the member as leader at a time; always true by
    * default. */
@@ -286,13 +290,16 @@
       }
       return std::nullopt;
     };
-    hooks.mForward = [this](const std::string&,
+    hooks.mForward = [this](const std::string& aHome,
                             OperationKey aOperation,
                             const ForwardedStatement& aStatement) {
       mForwarded.emplace_back(aOperation, aStatement);
+      mForwardedHomes.push_back(aHome);
     };
     hooks.mCancelForward = [](OperationKey) {};
-    hooks.mEndForwardedTransaction = [](const std::string&, SessionKey) {};
+    hooks.mEndForwardedTransaction = [this](const std::string&, SessionKey) {
+      mEndedTransactions++;
+    };
     hooks.mHasLeaderLease = [this](std::string_view,
                                    std::string_view aMember,
                                    TimePoint aAt) { return mHoldsLease(aMember, aAt); };
--- /dev/null
+++ b/tests/auto/proxy/tst_homemonitor.cpp
@@ -0,0 +1,106 @@
+// Tests of the detection of home instances that accept forwarded statements but don't
+// respond: a suspended process keeps its connections open.
+
+#include "proxy/homemonitor.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <vector>
+
+using namespace papayaspindle;
+using namespace papayaspindle::proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Runs a monitor against homes that answer pings after a delay, unless suspended. */
+struct MonitorSimulation
+{
+  MonitorSimulation()
+    : mMonitor(Hooks())
+  {
+  }
+
+  HomeMonitorHooks Hooks()
+  {
+    HomeMonitorHooks hooks;
+    hooks.mPing = [this](const std::string& aHome) {
+      mPings++;
+      mPongs.emplace_back(mNow + mPongDelay, aHome);
+    };
+    hooks.mOnChanged = [this](const std::string& aHome, bool aIsResponsive) {
+      mChanges.emplace_back(aHome, aIsResponsive);
+    };
+    hooks.mLog = [](LogLevel, std::string_view, std::initializer_list<LogField>) {};
+    return hooks;
+  }
+
+  void Run(Duration aTime)
+  {
+    const TimePoint end = mNow + aTime;
+    while (mNow < end) {
+      mNow += 10ms;
+      for (const auto& [at, home] : std::exchange(mPongs, {})) {
+        if (at > mNow || mSuspended.contains(home)) {
+          mPongs.emplace_back(at, home);
+        } else {
+          mMonitor.OnResponse(home, mNow);
+        }
+      }
+      if (mNow >= mMonitor.NextTimer()) {
+        mMonitor.OnTimer(mNow);
+      }
+    }
+  }
+
+  TimePoint mNow{ std::chrono::hours(1) };
+  Duration mPongDelay = 5ms;
+  std::set<std::string> mSuspended;
+  std::size_t mPings = 0;
+  std::vector<std::pair<TimePoint, std::string>> mPongs;
+  std::vector<std::pair<std::string, bool>> mChanges;
+  HomeMonitor mMonitor;
+};
+
+} // namespace
+
+TEST_CASE("a suspended home is unresponsive within 400 ms and until it answers a ping")
+{
+  MonitorSimulation simulation;
+  simulation.mSuspended.insert("home");
+  simulation.mMonitor.OnSent("home", simulation.mNow);
+  simulation.Run(400ms);
+  REQUIRE_FALSE(simulation.mMonitor.IsResponsive("home"));
+  REQUIRE(simulation.mChanges.size() == 1);
+  simulation.mMonitor.OnFinished("home");
+  simulation.Run(5s);
+  REQUIRE_FALSE(simulation.mMonitor.IsResponsive("home"));
+  simulation.mSuspended.clear();
+  simulation.Run(500ms);
+  REQUIRE(simulation.mMonitor.IsResponsive("home"));
+  REQUIRE(simulation.mChanges.size() == 2);
+}
+
+// Guards against a home that is taken for suspended while its group has no primary, when
+// its answers are late for a reason that every home shares.
+TEST_CASE("a home that answers pings while statements wait stays responsive")
+{
+  MonitorSimulation simulation;
+  simulation.mPongDelay = 60ms;
+  simulation.mMonitor.OnSent("home", simulation.mNow);
+  simulation.Run(5s);
+  REQUIRE(simulation.mMonitor.IsResponsive("home"));
+  REQUIRE(simulation.mChanges.empty());
+}
+
+TEST_CASE("a home that owes no answer isn't pinged")
+{
+  MonitorSimulation simulation;
+  simulation.mMonitor.OnSent("home", simulation.mNow);
+  simulation.mMonitor.OnResponse("home", simulation.mNow);
+  simulation.mMonitor.OnFinished("home");
+  simulation.Run(5s);
+  REQUIRE(simulation.mPings == 0);
+  REQUIRE(simulation.mMonitor.NextTimer() == TimePoint::max());
+}
--- a/tests/auto/proxy/tst_proxyforwarding.cpp
+++ b/tests/auto/proxy/tst_proxyforwarding.cpp
@@ -128,6 +128,82 @@
   REQUIRE(fixture.mSent.empty());
 }
 
+// Guards against a home that answers a transaction's first statement just after its entry
+// instance has given the transaction up, and then runs the session's next statement
+// inside that transaction.
+TEST_CASE("a home rolls back a transaction that the entry instance has given up")
+{
+  CoreFixture fixture;
+  constexpr SessionKey kRemote = 1ULL << 62U;
+  ForwardedStatement first;
+  first.mRoute = CoreFixture::MakeRoute("ledger", Consistency::ReadYourWrites);
+  first.mStatement.mId = "first";
+  first.mStatement.mKind = StatementKind::Write;
+  first.mStatement.mArguments = "item data";
+  first.mPurpose = OperationPurpose::TransactionFirst;
+  first.mMayWrite = true;
+  first.mWrites = true;
+  fixture.mCore.OnForwardedStatement(kRemote, first, fixture.mNow);
+  const ConnectionKey connection = fixture.LastSent(CommandKind::Begin).mConnection;
+  MemberReply open = Success({ 1, 40 });
+  open.mState = TransactionState::Open;
+  open.mText = kUnsigned;
+  fixture.mCore.OnReply(connection, open, fixture.mNow);
+  open.mText = "sig";
+  fixture.mCore.OnReply(connection, open, fixture.mNow);
+  REQUIRE_FALSE(fixture.LastAnswer(kRemote).mError);
+
+  ForwardedStatement single = first;
+  single.mStatement.mId = "single";
+  single.mPurpose = OperationPurpose::SingleWrite;
+  fixture.mCore.OnForwardedStatement(kRemote, single, fixture.mNow);
+  REQUIRE(fixture.LastSent(CommandKind::Rollback).mConnection == connection);
+  // The connection is used again once it is outside the transaction.
+  REQUIRE(fixture.LastSent(CommandKind::Write).mCommand.mId == "first");
+  MemberReply rolledBack = Success({ 1, 40 });
+  rolledBack.mText = kUnsigned;
+  fixture.mCore.OnReply(connection, rolledBack, fixture.mNow);
+  REQUIRE(fixture.LastSent(CommandKind::Write).mCommand.mId == "single");
+}
+
+TEST_CASE("an entry instance ends a transaction at its home after a timeout")
+{
+  CoreFixture fixture;
+  fixture.mIsHome = false;
+  fixture.OpenSession(1, "ledger");
+  fixture.SendStatement(1, StatementKind::Begin);
+  fixture.SendStatement(1, StatementKind::Write, "item data");
+  REQUIRE(fixture.mForwarded.size() == 1);
+  REQUIRE(fixture.mEndedTransactions == 0);
+  fixture.Advance(60s);
+  REQUIRE(fixture.LastAnswer(1).mError);
+  REQUIRE(fixture.mEndedTransactions == 1);
+}
+
+// Guards against a suspended home: its connections stay open, so statements would wait
+// for their deadline while other homes are idle.
+TEST_CASE("only reads outside transactions leave an unresponsive home")
+{
+  CoreFixture fixture;
+  fixture.mIsHome = false;
+  fixture.OpenSession(1, "ledger");
+  fixture.SendStatement(1, StatementKind::Read, "item");
+  fixture.OpenSession(2, "ledger");
+  fixture.SendStatement(2, StatementKind::Write, "item data");
+  fixture.OpenSession(3, "ledger");
+  fixture.SendStatement(3, StatementKind::Begin);
+  fixture.SendStatement(3, StatementKind::Read, "item");
+  REQUIRE(fixture.mForwarded.size() == 3);
+  const std::string home = fixture.mForwardedHomes.at(0);
+  fixture.mCore.OnHomeUnresponsive("another", fixture.mNow);
+  REQUIRE(fixture.mForwarded.size() == 3);
+  fixture.mCore.OnHomeUnresponsive(home, fixture.mNow);
+  REQUIRE(fixture.mForwarded.size() == 4);
+  REQUIRE(fixture.mForwarded[3].first == fixture.mForwarded[0].first);
+  REQUIRE(fixture.AnswerCount(2) == 0);
+  REQUIRE(fixture.AnswerCount(3) == 1);
+}
+
 TEST_CASE("forwarded statements and answers are unchanged by encoding and decoding")
 {
   ForwardedStatement statement;
