Renew leases only by followers outside the leader's zone

Cause: a claim waits until every follower is paused, or 8.5 s.

Change: followers in the leader's zone renew no leases, and a claim doesn't wait for them. Instances in a cut-off zone then lose their leases after 1.2 s. All followers are waited for if an unanswered call may still promote another member.

The exploration has two members in one zone at every second seed; a directed case fails if followers in the leader's zone renew leases.

--- a/src/libs/proxy/leadership/leadershiptransfer.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer.cpp
@@ -17,6 +17,9 @@
   for (const std::string& member : mRequest.mCandidates) {
     mFollowers[member].mIsCandidate = true;
   }
+  for (const std::string& member : mRequest.mNonRenewers) {
+    mFollowers[member].mRenewsLeases = false;
+  }
   if (!mRequest.mPendingMember.empty()) {
     mFollowers[mRequest.mPendingMember];
   }
@@ -231,7 +234,7 @@
   TimePoint pausedSince = mRequest.mClaimedAt;
   bool areAllPaused = true;
   for (const auto& [member, follower] : mFollowers) {
-    if (member == mRequest.mReplaced) {
+    if (member == mRequest.mReplaced || !follower.mRenewsLeases) {
       continue;
     }
     areAllPaused = areAllPaused && follower.mPausedAt;
--- a/src/libs/proxy/leadership/leadershiptransfer.h
+++ b/src/libs/proxy/leadership/leadershiptransfer.h
@@ -27,6 +27,9 @@
   LogPosition mRequiredPosition;
   /** All listed members other than the replaced one. */
   std::vector<std::string> mFollowers;
+  /** Followers that renew no leases (RenewsLeases). The transfer pauses them if it can,
+   * but doesn't wait for them. */
+  std::vector<std::string> mNonRenewers;
   /** Followers that may be promoted. */
   std::vector<std::string> mCandidates;
   /** Member that an unanswered promotion call may still promote; empty for none. */
@@ -109,6 +112,7 @@
     std::optional<TimePoint> mPausedAt;
     /** The follower may be promoted. */
     bool mIsCandidate = false;
+    bool mRenewsLeases = true;
     /** A command to the follower is unanswered. */
     bool mIsAwaitingReply = false;
     TimePoint mNextCommandAt;
--- a/src/libs/proxy/leadership/leasekeeper.cpp
+++ b/src/libs/proxy/leadership/leasekeeper.cpp
@@ -1,5 +1,6 @@
 #include "proxy/leadership/leasekeeper.h"
 
+#include "proxy/leadership/leaserenewal.h"
 #include "proxy/leadership/leasetimes.h"
 
 #include <algorithm>
@@ -58,6 +59,10 @@
 LeaseKeeper::QueryFollower(const std::string& aGroup, Renewal& aRenewal, TimePoint aNow)
 {
   std::vector<MemberEntry> followers = mHooks.mFollowers(aGroup);
+  const std::optional<std::string> leaderZone = mHooks.mLeaderZone(aGroup);
+  std::erase_if(followers, [&](const MemberEntry& aFollower) {
+    return !leaderZone || !RenewsLeases(aFollower.mZone, *leaderZone);
+  });
   if (followers.empty()) {
     return;
   }
@@ -75,7 +80,8 @@
                       status,
                       kFollowerReplyTimeout,
                       aNow,
-                      [this, aGroup, aNow](const std::optional<MemberReply>& aReply) {
+                      [this, aGroup, aNow, leader = mLeases.Leader(aGroup)](
+                        const std::optional<MemberReply>& aReply) {
                         Renewal& renewal = mRenewals[aGroup];
                         renewal.mIsQueryPending = false;
                         if (!aReply || !aReply->mStatus) {
@@ -84,8 +90,12 @@
                           renewal.mQueriedAt = {};
                           return;
                         }
-                        mLeases.OnFollowerStatus(
-                          aGroup, *aReply->mStatus, aNow, mHooks.mNow());
+                        // The follower may be in the zone of a leader that was chosen
+                        // in the meantime.
+                        if (mLeases.Leader(aGroup) == leader) {
+                          mLeases.OnFollowerStatus(
+                            aGroup, *aReply->mStatus, aNow, mHooks.mNow());
+                        }
                       });
 }
 
--- a/src/libs/proxy/leadership/leasekeeper.h
+++ b/src/libs/proxy/leadership/leasekeeper.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,8 @@
   std::function<std::vector<std::string>()> mGroups;
   /** Listed members of a group that don't lead. */
   std::function<std::vector<MemberEntry>(std::string_view aGroup)> mFollowers;
+  /** Availability zone of a group's leader; nothing if it isn't known. */
+  std::function<std::optional<std::string>(std::string_view aGroup)> mLeaderZone;
   /** Sends a command to a member; the duration is the timeout. */
   std::function<
     void(std::string_view aMember, const MemberCommand&, Duration, TimePoint, StatusHook)>
@@ -32,8 +35,9 @@
   std::function<TimePoint()> mNow;
 };
 
-/** Renews this instance's leases on the leaders of its groups. Followers renew them,
- * preferably those of this instance's zone; if no follower does, the store is read. */
+/** Renews this instance's leases on the leaders of its groups. Followers outside the
+ * leader's zone renew them, preferably those of this instance's zone; if no follower
+ * does, the store is read. */
 class LeaseKeeper
 {
 public:
--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -1,3 +1,4 @@
+#include "proxy/leadership/leaserenewal.h"
 #include "proxy/leadership/leasetimes.h"
 #include "proxy/leadership/promotioncoordinator.h"
 #include "proxy/leadership/promotiontimes.h"
@@ -75,11 +76,21 @@
   request.mClaimedAt = aNow;
   request.mPendingMember =
     aPromotion.mPendingMember == "-" ? std::string() : aPromotion.mPendingMember;
-  for (const MemberEntry& replica : mHooks.mMembers(aGroup)) {
+  const std::vector<MemberEntry> members = mHooks.mMembers(aGroup);
+  const auto replaced =
+    std::find_if(members.begin(), members.end(), [&](const MemberEntry& aMember) {
+      return aMember.mId == aPromotion.mReplaced;
+    });
+  // Instances may also hold leases on the member that an unanswered call may promote.
+  const bool isLeaderKnown = replaced != members.end() && request.mPendingMember.empty();
+  for (const MemberEntry& replica : members) {
     if (replica.mId == aPromotion.mReplaced) {
       continue;
     }
     request.mFollowers.push_back(replica.mId);
+    if (isLeaderKnown && !RenewsLeases(replica.mZone, replaced->mZone)) {
+      request.mNonRenewers.push_back(replica.mId);
+    }
     const auto refused = aPromotion.mRefused.find(replica.mId);
     const bool isRefused = refused != aPromotion.mRefused.end() && refused->second > aNow;
     if (!replica.mDraining && !isRefused) {
--- a/tests/auto/proxy/leadershipsimulation.h
+++ b/tests/auto/proxy/leadershipsimulation.h
@@ -30,6 +30,8 @@
   bool mIgnoresPause = false;
   /** An old leader ignores the command to step down. */
   bool mIgnoresDemote = false;
+  /** Followers in the leader's zone renew leases, although claims don't wait for them. */
+  bool mRenewsInLeaderZone = false;
 };
 
 /**
@@ -46,6 +48,7 @@
 public:
   struct Member
   {
+    std::string mZone;
     bool mIsAlive = true;
     bool mIsPrimary = false;
     std::uint64_t mTerm = 1;
@@ -85,9 +88,10 @@
     : mFaults(aFaults)
     , mRandom(aSeed)
   {
-    for (const char* id : { "p", "r1", "r2" }) {
-      mMembers[id];
-    }
+    // Half of the groups have two members in one zone.
+    mMembers["p"].mZone = "zone-a";
+    mMembers["r1"].mZone = "zone-b";
+    mMembers["r2"].mZone = aSeed % 2 == 0 ? "zone-a" : "zone-c";
     mMembers["p"].mIsPrimary = true;
     for (std::size_t index = 0; index < aInstances; index++) {
       Start("instance-" + std::to_string(index));
@@ -528,6 +532,7 @@
       if (id != (leader.empty() ? aInstance.mListedPrimary : leader)) {
         MemberEntry entry;
         entry.mId = id;
+        entry.mZone = member.mZone;
         entry.mDraining = member.mIsDraining;
         followers.push_back(entry);
       }
@@ -576,6 +581,7 @@
       for (const auto& [id, member] : mMembers) {
         MemberEntry entry;
         entry.mId = id;
+        entry.mZone = member.mZone;
         entry.mDraining = member.mIsDraining;
         members.push_back(entry);
       }
@@ -609,6 +615,13 @@
     hooks.mFollowers = [this, aName](std::string_view) {
       return Followers(mInstances[aName]);
     };
+    hooks.mLeaderZone = [this, aName](std::string_view) {
+      const std::string leader = LeaderFor(mInstances[aName]);
+      if (mFaults.mRenewsInLeaderZone) {
+        return std::optional<std::string>("another");
+      }
+      return leader.empty() ? std::nullopt : std::optional(mMembers[leader].mZone);
+    };
     hooks.mQueryStatus = Hooks(aName, aProcess).mSendCommand;
     hooks.mReadStore = [this, aName, aProcess](TimePoint aNow) {
       Duration delay = 3ms;
--- a/tests/auto/proxy/tst_leadershipexploration.cpp
+++ b/tests/auto/proxy/tst_leadershipexploration.cpp
@@ -181,6 +181,25 @@
   REQUIRE(CountViolations(400, faults) > 0);
 }
 
+// The primary and one follower are in a zone that is cut off with one instance.
+TEST_CASE("a cut-off zone with the primary and a follower is replaced after a lease")
+{
+  LeadershipFaults faults;
+  faults.mRenewsInLeaderZone = GENERATE(false, true);
+  // Members p and r2 share a zone at even seeds.
+  LeadershipSimulation simulation(3, 2, faults);
+  simulation.Run(2s);
+  simulation.mInstances["instance-0"].mReachesStore = false;
+  simulation.mInstances["instance-0"].mUnreachableMembers = { "r1" };
+  simulation.mInstances["instance-1"].mUnreachableMembers = { "p", "r2" };
+  simulation.mInstances["instance-2"].mUnreachableMembers = { "p", "r2" };
+  simulation.mDisconnectedPairs = { { "p", "r1" }, { "r2", "r1" } };
+  simulation.Run(4s);
+  REQUIRE(simulation.mPromotedMembers == std::vector<std::string>{ "r1" });
+  // If followers in the leader's zone renewed leases, clients would use both leaders.
+  REQUIRE(simulation.mViolations.empty() != faults.mRenewsInLeaderZone);
+}
+
 TEST_CASE("draining the primary loses no acknowledged commit")
 {
   for (std::uint64_t seed = 1; seed <= 20; seed++) {
--- a/tests/auto/proxy/tst_leadershiptransfer.cpp
+++ b/tests/auto/proxy/tst_leadershiptransfer.cpp
@@ -118,6 +118,22 @@
   REQUIRE(transfer.Target() == "r1");
 }
 
+// Guards against 8.5 s without a primary when the zone of a primary is cut off in which
+// its draining predecessor also is.
+TEST_CASE("a follower in the old leader's zone that can't be paused delays no promotion")
+{
+  TransferRequest request = Request(false);
+  request.mNonRenewers = { "r2" };
+  LeadershipTransfer transfer(request);
+  REQUIRE(CountOf(transfer.Start(kStart), CommandKind::Pause) == 2);
+  (void)transfer.OnReply("r1", CommandKind::Pause, Status(100), kStart);
+  (void)transfer.OnTimer(kStart + kLeaderLease);
+  REQUIRE(transfer.State() == Outcome::Pending);
+  (void)transfer.OnTimer(kStart + kLeaderLease + 1ms);
+  REQUIRE(transfer.State() == Outcome::Ready);
+  REQUIRE(transfer.Target() == "r1");
+}
+
 TEST_CASE("the pause command to a follower that did not answer is repeated")
 {
   LeadershipTransfer transfer(Request(false));
