Confirm conditional writes without an answer by a read, and repeat them

Cause: a claim or a suspicion report whose answer was lost, or that was sent into a silent store, waited 1.5 s for its timeout.

Change: ConditionalWriter reads the row when an answer takes longer than 250 ms, and at once when the store has answered another call. A row with the new content confirms the write, the expected revision repeats it, any other one is a conflict. All attempts require the same revision, so at most one takes effect.

--- a/tests/auto/proxy/leadershipsimulation.h
+++ b/tests/auto/proxy/leadershipsimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/leadership/conditionalwriter.h"
 #include "proxy/leadership/leaderleases.h"
 #include "proxy/leadership/leasekeeper.h"
 #include "proxy/leadership/leasetimes.h"
@@ -67,6 +68,7 @@
   {
     std::unique_ptr<LeaderLeases> mLeases;
     std::unique_ptr<LeaseKeeper> mKeeper;
+    std::unique_ptr<ConditionalWriter> mWriter;
     std::unique_ptr<PromotionCoordinator> mCoordinator;
     bool mReachesStore = true;
     bool mIsFrozen = false;
@@ -118,6 +120,7 @@
         }
         UpdateHealth(instance);
         instance.mKeeper->OnTimer(mNow);
+        instance.mWriter->OnTimer(mNow);
         instance.mCoordinator->OnTimer(mNow);
         if (mHasClients) {
           SendClientRequest(name, instance);
@@ -445,10 +448,23 @@
 
   SharedStore Store(const std::string& aName, std::uint64_t aProcess)
   {
-    SharedStore store;
-    store.mWrite = [this, aName, aProcess](
-                     const ConditionalWrite& aWrite,
-                     std::function<void(const WriteResult&)> aHook) {
+    ConditionalWriterHooks writer;
+    writer.mNow = [this] { return mNow; };
+    writer.mRead = [this, aName, aProcess](TimePoint,
+                                           std::function<void(const ReadResult&)> aHook) {
+      if (!mInstances[aName].mReachesStore || Chance() < mLostAnswerShare) {
+        DeliverAnswer(aName, aProcess, 900ms, [aHook] { aHook(StoreFailure::NoAnswer); });
+        return;
+      }
+      Schedule(3ms, [this, aName, aProcess, aHook] {
+        DeliverAnswer(aName, aProcess, 3ms, [aHook, rows = Rows()] {
+          aHook(TableSnapshot{ rows, 0, 0 });
+        });
+      });
+    };
+    writer.mWrite = [this, aName, aProcess](
+                      const ConditionalWrite& aWrite,
+                      std::function<void(const WriteResult&)> aHook) {
       if (!mInstances[aName].mReachesStore) {
         DeliverAnswer(aName, aProcess, 900ms, [aHook] { aHook(StoreFailure::Refused); });
         return;
@@ -465,6 +481,12 @@
           aName, aProcess, {}, [aHook, result = Apply(aWrite)] { aHook(result); });
       });
     };
+    mInstances[aName].mWriter = std::make_unique<ConditionalWriter>(std::move(writer));
+    SharedStore store;
+    store.mWrite = [this, aName](const ConditionalWrite& aWrite,
+                                 std::function<void(const WriteResult&)> aHook) {
+      mInstances[aName].mWriter->Write(aWrite, std::move(aHook));
+    };
     store.mPromote = [this, aName, aProcess](const PromotionCall& aCall,
                                              std::function<void(PromotionAnswer)> aHook) {
       if (Chance() < mLostAnswerShare) {
