Take an abandoned claim over while its reason lasts

Cause: an instance claims a group whose primary is down, and is suspended.

Change: the claim is taken over instead of withdrawn while the old primary is down, draining or not listed.

The test fails without the change.

--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -38,9 +38,14 @@
   // other.
   const std::string& replaced = isRefused ? row->mLeader : row->mMember;
   aPromotion.mReplaced = replaced == "-" ? std::string() : replaced;
-  if (row->mLeader != "-" || aPromotion.mReplaced.empty() || aPromotion.mNeedsLeader) {
-    // A call of an earlier claim may still take effect; it is repeated until it is
-    // answered.
+  const PrimaryHealth health = mHooks.mPrimaryHealth(aGroup, aNow);
+  const bool hasReason = health.mMember.empty() || !health.mIsListed ||
+                         health.mIsDraining || health.mDownSince;
+  if (row->mLeader != "-" || aPromotion.mReplaced.empty() || aPromotion.mNeedsLeader ||
+      hasReason) {
+    // A call of an earlier claim may still take effect, and is repeated until it is
+    // answered; or the member still has to be replaced, so that a withdrawal would only
+    // delay the next claim.
     aPromotion.mIsSwitchover = false;
     ClaimPromotion(aGroup, aPromotion, "claim_left", aNow);
     return true;
--- a/tests/auto/proxy/leadershipsimulation.h
+++ b/tests/auto/proxy/leadershipsimulation.h
@@ -138,6 +138,15 @@
     Start(aName, process + 1);
   }
 
+  /** @return holder of the group's claim, or an empty string if there is none */
+  std::string ClaimHolder() const
+  {
+    const auto found = mRows.find(LeadershipKey("group"));
+    const auto row =
+      found == mRows.end() ? std::nullopt : DecodeLeadership(found->second.mValue);
+    return row && row->mState == LeadershipState::Claimed ? row->mHolder : std::string();
+  }
+
   /** Makes a crashed member return as a follower if it was replaced meanwhile. */
   void ReturnAsFollower(const std::string& aMember)
   {
--- a/tests/auto/proxy/tst_leadershipexploration.cpp
+++ b/tests/auto/proxy/tst_leadershipexploration.cpp
@@ -6,6 +6,7 @@
 // mechanism each to show that the violations are detected.
 
 #include "leadershipsimulation.h"
+#include "proxy/leadership/promotiontimes.h"
 
 #include <catch2/catch.hpp>
 
@@ -200,6 +201,24 @@
   REQUIRE(simulation.mViolations.empty() != faults.mRenewsInLeaderZone);
 }
 
+// Guards against an abandoned claim that is withdrawn in favour of a primary that is
+// down, so that the group waits for another claim interval.
+TEST_CASE("the claim of a suspended instance is taken over after one claim interval")
+{
+  LeadershipSimulation simulation(3, 1);
+  simulation.Run(2s);
+  simulation.mMembers["p"].mIsAlive = false;
+  while (simulation.ClaimHolder().empty()) {
+    simulation.Run(10ms);
+  }
+  simulation.mInstances[simulation.ClaimHolder()].mIsFrozen = true;
+  // The platform's promotion, detection and jitter take up to 1.5 s.
+  simulation.Run(kMinClaimInterval + kLeaderLease + 1500ms);
+  REQUIRE(simulation.IsServed());
+  REQUIRE(simulation.mPromotedMembers.size() == 1);
+  REQUIRE(simulation.mViolations.empty());
+}
+
 TEST_CASE("draining the primary loses no acknowledged commit")
 {
   for (std::uint64_t seed = 1; seed <= 20; seed++) {
