--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -330,18 +330,21 @@
   mHooks.mRecordLatency("statement_time", took);
   const bool isLate = took > operation.mRoute.mLatencyObjective;
   if (aAnswer.mError || isLate) {
-    mHooks.mLog(LogLevel::Info,
-                aAnswer.mError ? "statement_failed" : "statement_late",
-                { { "id", operation.mStatement.mId },
-                  { "session", std::to_string(sessionKey) },
-                  { "database", operation.mRoute.mDatabase },
-                  { "member", operation.mMember },
-                  { "home", operation.mHome },
-                  { "attempts", std::to_string(operation.mAttempts) },
-                  { "took_ms", MillisecondText(took) },
-                  { "sent_ms_ago", MillisecondText(aNow - operation.mSentAt) },
-                  { "version", std::to_string(mConfiguration.mVersion) },
-                  { "outcome", aAnswer.mError ? aAnswer.mText : "served" } });
+    mHooks.mLog(
+      LogLevel::Info,
+      aAnswer.mError ? "statement_failed" : "statement_late",
+      { { "id", operation.mStatement.mId },
+        { "session", std::to_string(sessionKey) },
+        { "database", operation.mRoute.mDatabase },
+        { "member", operation.mMember },
+        { "home", operation.mHome },
+        { "attempts", std::to_string(operation.mAttempts) },
+        { "took_ms", MillisecondText(took) },
+        { "sent_ms_ago",
+          operation.mSentAt == TimePoint() ? "none"
+                                           : MillisecondText(aNow - operation.mSentAt) },
+        { "version", std::to_string(mConfiguration.mVersion) },
+        { "outcome", aAnswer.mError ? aAnswer.mText : "served" } });
   }
   mHooks.mCount(aAnswer.mError ? "statement_failed" : "statement_served");
   RemoveOperation(aKey);
--- a/src/libs/proxy/proxycore_sessionlife.cpp
+++ b/src/libs/proxy/proxycore_sessionlife.cpp
@@ -69,6 +69,14 @@
   }
   Session& session = found->second;
   if (session.mOperation) {
+    const Operation& operation = mOperations.at(*session.mOperation);
+    mHooks.mLog(LogLevel::Info,
+                "statement_abandoned",
+                { { "id", operation.mStatement.mId },
+                  { "session", std::to_string(aSession) },
+                  { "database", operation.mRoute.mDatabase },
+                  { "member", operation.mMember },
+                  { "home", operation.mHome } });
     AbandonOperation(*session.mOperation, session);
   }
   ReleaseTransaction(aSession, session, aNow);
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -211,6 +211,16 @@
     return lines;
   }
 
+  /** @return the last log line of an event, or an empty string if there is none */
+  std::string LogLine(const std::string& aEvent) const
+  {
+    const auto found =
+      std::find_if(mLog.rbegin(), mLog.rend(), [&](const std::string& aLine) {
+        return aLine.starts_with(aEvent + " ");
+      });
+    return found == mLog.rend() ? std::string() : *found;
+  }
+
   /** Answers the core's requests for position samples. */
   void AnswerSamples(LogPosition aPosition)
   {
--- a/tests/auto/proxy/tst_proxyoverload.cpp
+++ b/tests/auto/proxy/tst_proxyoverload.cpp
@@ -339,3 +339,20 @@
   }
   REQUIRE(openCount() == 2);
 }
+
+TEST_CASE(
+  "the log shows that a failed statement was never sent, and when a client has left")
+{
+  CoreFixture fixture;
+  fixture.mHoldsLease = [](std::string_view, TimePoint) { return false; };
+  fixture.OpenSession(1, "main");
+  fixture.SendStatement(1, StatementKind::Write, "item data");
+  fixture.Advance(10s);
+  REQUIRE(fixture.LastAnswer(1).mError);
+  REQUIRE(fixture.LogLine("statement_failed").find("sent_ms_ago=none") !=
+          std::string::npos);
+  fixture.OpenSession(2, "main");
+  fixture.SendStatement(2, StatementKind::Write, "item data");
+  fixture.mCore.OnSessionClosed(2, fixture.mNow);
+  REQUIRE(fixture.LogLine("statement_abandoned").find("session=2") != std::string::npos);
+}
