End statements at their home when the entry instance gives them up

Cause: a home did not notice that a forwarded statement was cancelled. A home that was suspended received a read together with its cancellation and ran it when it resumed, although another home had answered it meanwhile and the client could have changed its session values. A statement of the same session that followed a cancelled one was refused.

Change: Http2Session reports the end of an unanswered request; ForwardServer passes statements on only after it has read all input of a link, and ends the session of a cancelled statement. The test fails without the change (the first statement is not ended).

--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -48,6 +48,9 @@
   http.mOnRequest = [this, aStream](std::int32_t aRequest, const PeerRequest& aMessage) {
     OnRequest(aStream, aRequest, aMessage);
   };
+  http.mOnCancelled = [this, aStream](std::int32_t aRequest) {
+    OnCancelled(aStream, aRequest);
+  };
   mLinks[aStream].mSession = std::make_unique<Http2Session>(
     Http2Session::Role::Server, kMaxMessageBytes, std::move(http));
   mLinksToFlush.insert(aStream);
@@ -62,12 +65,59 @@
   }
   const std::string bytes = std::exchange(aInput, {});
   mLinksToFlush.insert(aStream);
-  if (!found->second.mSession->Receive(bytes)) {
+  const bool isValid = found->second.mSession->Receive(bytes);
+  PassOnReceived();
+  if (!isValid) {
     mStreams.Close(aStream);
     OnEnded(aStream);
   }
 }
 
+void
+ForwardServer::OnCancelled(StreamKey aStream, std::int32_t aRequest)
+{
+  // A process that was suspended receives a statement together with its cancellation.
+  std::erase_if(mReceived, [&](const ReceivedStatement& aReceived) {
+    return aReceived.mStream == aStream && aReceived.mRequest == aRequest;
+  });
+  const auto link = mLinks.find(aStream);
+  if (link == mLinks.end()) {
+    return;
+  }
+  const auto unanswered = link->second.mUnanswered.find(aRequest);
+  if (unanswered == link->second.mUnanswered.end()) {
+    return;
+  }
+  const proxy::SessionKey session = unanswered->second;
+  link->second.mUnanswered.erase(unanswered);
+  const auto remote = mSessions.find(session);
+  if (remote == mSessions.end()) {
+    return;
+  }
+  link->second.mSessions.erase(remote->second.mEntryKey);
+  mSessions.erase(remote);
+  mHooks.mSessionEnded(session);
+}
+
+void
+ForwardServer::PassOnReceived()
+{
+  for (ReceivedStatement& received : std::exchange(mReceived, {})) {
+    const auto found = mLinks.find(received.mStream);
+    if (found == mLinks.end()) {
+      continue;
+    }
+    Link& link = found->second;
+    const proxy::SessionKey entryKey = received.mStatement.mSession;
+    const auto [existing, isNew] = link.mSessions.try_emplace(entryKey, mNextSession);
+    mNextSession += isNew ? 1 : 0;
+    const proxy::SessionKey session = existing->second;
+    mSessions[session] = { received.mStream, entryKey, received.mRequest };
+    link.mUnanswered[received.mRequest] = session;
+    mHooks.mStatementReceived(session, std::move(received.mStatement));
+  }
+}
+
 void
 ForwardServer::OnRelayRequest(StreamKey aStream,
                               std::int32_t aRequest,
@@ -123,8 +173,8 @@
       aRequest, Error{ ErrorKind::MalformedRequest, "the statement can't be read" });
     return;
   }
-  const auto existing = link.mSessions.find(statement->mSession);
   if (aMessage.mMethod == kSessionEndMethod) {
+    const auto existing = link.mSessions.find(statement->mSession);
     link.mSession->SubmitReply(aRequest, std::string());
     if (existing != link.mSessions.end()) {
       const proxy::SessionKey session = existing->second;
@@ -134,11 +184,7 @@
     }
     return;
   }
-  const proxy::SessionKey session =
-    existing == link.mSessions.end() ? mNextSession++ : existing->second;
-  link.mSessions[statement->mSession] = session;
-  mSessions[session] = { aStream, statement->mSession, aRequest };
-  mHooks.mStatementReceived(session, std::move(*statement));
+  mReceived.push_back({ aStream, aRequest, std::move(*statement) });
 }
 
 void
@@ -155,6 +201,7 @@
   if (link == mLinks.end()) {
     return;
   }
+  link->second.mUnanswered.erase(session.mRequest);
   if (aAnswer.mState != proxy::TransactionState::Open) {
     // The home instance keeps no state of a session outside a transaction.
     link->second.mSessions.erase(session.mEntryKey);
--- a/src/libs/forwarding/forwardserver.h
+++ b/src/libs/forwarding/forwardserver.h
@@ -77,6 +77,16 @@
     std::set<proxy::RelayKey> mRelayRequests;
     /** Keys of sessions at this instance, by their keys at the entry instance. */
     std::map<proxy::SessionKey, proxy::SessionKey> mSessions;
+    /** Sessions of the unanswered statements, by HTTP/2 stream. */
+    std::map<std::int32_t, proxy::SessionKey> mUnanswered;
+  };
+
+  /** A statement that was received but not passed on. */
+  struct ReceivedStatement
+  {
+    StreamKey mStream = 0;
+    std::int32_t mRequest = 0;
+    proxy::ForwardedStatement mStatement;
   };
 
   void OnAccepted(StreamKey aStream);
@@ -86,6 +96,10 @@
                       std::int32_t aRequest,
                       const PeerRequest& aMessage);
   void OnRequest(StreamKey aStream, std::int32_t aRequest, const PeerRequest& aMessage);
+  /** Handles that the entry instance has given up a statement. */
+  void OnCancelled(StreamKey aStream, std::int32_t aRequest);
+  /** Passes on the received statements that were not cancelled meanwhile. */
+  void PassOnReceived();
 
   StreamTable& mStreams;
   ForwardServerHooks mHooks;
@@ -98,6 +112,7 @@
   std::size_t mQueuedRelayBytes = 0;
   /** Links that may have output. */
   std::set<StreamKey> mLinksToFlush;
+  std::vector<ReceivedStatement> mReceived;
 };
 
 } // namespace papayaspindle
--- a/src/libs/transport/http2callbacks.cpp
+++ b/src/libs/transport/http2callbacks.cpp
@@ -177,6 +177,10 @@
   if (!node.empty() && self.mRole == Role::Client && node.mapped().mWritten) {
     self.mHooks.mOnReply(aStream, node.mapped().TakeReply(aErrorCode));
   }
+  if (!node.empty() && self.mRole == Role::Server && !node.mapped().mAnswered &&
+      self.mHooks.mOnCancelled) {
+    self.mHooks.mOnCancelled(aStream);
+  }
   return 0;
 }
 
--- a/src/libs/transport/http2session.h
+++ b/src/libs/transport/http2session.h
@@ -18,6 +18,9 @@
 {
   /** Server: a whole request arrived and its check holds. */
   std::function<void(std::int32_t aStream, PeerRequest aRequest)> mOnRequest;
+  /** Server: the other side has given up a request that isn't answered yet. May be empty.
+   */
+  std::function<void(std::int32_t aStream)> mOnCancelled;
   /**
    * Client: a request is about to be written.
    * @return false to leave it unsent; mOnReply is then not called
--- a/tests/auto/proxy/tst_proxyforwarding.cpp
+++ b/tests/auto/proxy/tst_proxyforwarding.cpp
@@ -2,10 +2,15 @@
 // lost homes.
 
 #include "corefixture.h"
+#include "eventloop/eventloop.h"
+#include "forwarding/forwardclient.h"
 #include "forwarding/forwardcodec.h"
+#include "forwarding/forwardserver.h"
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 using namespace papayaspindle;
 using namespace papayaspindle::proxy;
 
@@ -242,3 +247,70 @@
   REQUIRE_FALSE(DecodeForwardedStatement("\xff\xff\xff"));
   REQUIRE_FALSE(DecodeHomeAnswer("\xff\xff\xff"));
 }
+
+// Guards against a suspended home that resumes, and runs a read that another home has
+// answered meanwhile, when the client may have changed its session values.
+TEST_CASE("a statement that is received together with its cancellation isn't passed on")
+{
+  EventLoop loop;
+  StreamTable streams(loop, 50);
+  std::vector<SessionKey> received;
+  std::vector<SessionKey> ended;
+  ForwardServerHooks server;
+  server.mStatementReceived = [&](SessionKey aSession, ForwardedStatement) {
+    received.push_back(aSession);
+  };
+  server.mSessionEnded = [&](SessionKey aSession) { ended.push_back(aSession); };
+  server.mRelayRequested = [](RelayKey, const RelayRequest&) {};
+  server.mRelayCancelled = [](RelayKey) {};
+  server.mIsLeaving = [] { return false; };
+  ForwardServer home(streams, server);
+  const std::string address = "127.0.0.1:" + std::to_string(40000 + getpid() % 20000);
+  home.Listen(address);
+  bool isConnected = false;
+  ForwardClientHooks client;
+  client.mAddressOf = [&](const std::string&) { return std::optional(address); };
+  client.mAnswered = [](OperationKey, HomeAnswer, const std::string&) {};
+  client.mFailed = [](OperationKey, bool, const std::string&) {};
+  client.mPeerResponded = [&](const std::string&) { isConnected = true; };
+  client.mPeerDisconnected = [](const std::string&) {};
+  ForwardClient entry(streams, client);
+  const auto turn = [&] {
+    entry.Flush(EventLoop::Now());
+    home.Flush();
+    streams.Flush();
+    loop.RunOnce(EventLoop::Now() + 5ms);
+  };
+  ForwardedStatement statement;
+  statement.mRoute = CoreFixture::MakeRoute("ledger", Consistency::ReadYourWrites);
+  statement.mStatement.mKind = StatementKind::Read;
+
+  // The cancelled statement is sent first; the second one shows that the home has read
+  // both.
+  statement.mSession = 1;
+  entry.Forward("home", 1, statement, EventLoop::Now());
+  for (int turns = 0; turns < 1000 && !isConnected; turns++) {
+    turn();
+  }
+  for (int turns = 0; turns < 1000 && received.empty(); turns++) {
+    turn();
+  }
+  REQUIRE(received.size() == 1);
+  entry.Cancel(1);
+  for (int turns = 0; turns < 1000 && ended.empty(); turns++) {
+    turn();
+  }
+  REQUIRE(ended == received);
+
+  statement.mSession = 2;
+  entry.Forward("home", 2, statement, EventLoop::Now());
+  entry.Flush(EventLoop::Now());
+  entry.Cancel(2);
+  statement.mSession = 3;
+  entry.Forward("home", 3, statement, EventLoop::Now());
+  for (int turns = 0; turns < 1000 && received.size() < 2; turns++) {
+    turn();
+  }
+  REQUIRE(received.size() == 2);
+  REQUIRE(ended.size() == 1);
+}
