--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -166,6 +166,8 @@
   void AdmitEarlySessions(TimePoint aNow);
   /** Ends the operation of a session whose client has disconnected. */
   void AbandonOperation(OperationKey aKey, Session& aSession);
+  /** Removes an operation from all tables; its connection and session stay. */
+  void RemoveOperation(OperationKey aKey);
   /** Answers all pending statements of a session with errors before a stop. */
   void AnswerBeforeStop(SessionKey aKey, TimePoint aNow);
   /** Closes the session if a drain or partition requires it and its state allows it. */
@@ -247,7 +249,6 @@
                      TimePoint aNow);
   void OnOperationTimer(OperationKey aKey, TimePoint aNow);
   void ScheduleOperation(OperationKey aKey, TimePoint aAt);
-  void RemoveOperation(OperationKey aKey);
 
   // proxycore_admission.cpp
   /** @return whether a further connection would allow a further statement to be sent.
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -381,26 +381,4 @@
   FinishOperation(aKey, std::move(answer), aNow);
 }
 
-void
-ProxyCore::RemoveOperation(OperationKey aKey)
-{
-  const auto found = mOperations.find(aKey);
-  Operation& operation = found->second;
-  RemoveFromInFlight(operation);
-  if (operation.mStage == OperationStage::Waiting) {
-    std::erase(mGroups[operation.mGroup].mWaiting, aKey);
-  }
-  if (operation.mConnection) {
-    const auto connection = mConnections.find(*operation.mConnection);
-    if (connection != mConnections.end()) {
-      connection->second.mOperation.reset();
-    }
-  }
-  const auto session = mSessions.find(operation.mSession);
-  if (session != mSessions.end()) {
-    session->second.mOperation.reset();
-  }
-  mOperations.erase(found);
-}
-
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore_sessionlife.cpp
+++ b/src/libs/proxy/proxycore_sessionlife.cpp
@@ -108,6 +108,28 @@
   }
 }
 
+void
+ProxyCore::RemoveOperation(OperationKey aKey)
+{
+  const auto found = mOperations.find(aKey);
+  Operation& operation = found->second;
+  RemoveFromInFlight(operation);
+  if (operation.mStage == OperationStage::Waiting) {
+    std::erase(mGroups[operation.mGroup].mWaiting, aKey);
+  }
+  if (operation.mConnection) {
+    const auto connection = mConnections.find(*operation.mConnection);
+    if (connection != mConnections.end()) {
+      connection->second.mOperation.reset();
+    }
+  }
+  const auto session = mSessions.find(operation.mSession);
+  if (session != mSessions.end()) {
+    session->second.mOperation.reset();
+  }
+  mOperations.erase(found);
+}
+
 void
 ProxyCore::AnswerBeforeStop(SessionKey aKey, TimePoint aNow)
 {
