--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -193,6 +193,7 @@
         self.log = []  # (term, number, statement id, {item: data}, time received)
         self.term = 1
         self.alive, self.deaf, self.cut_from_store, self.draining = True, False, False, False
+        self.leads = False
         self.paused_term = 0
         self.slots = asyncio.Semaphore(2)
         self.queued = 0
@@ -209,10 +210,6 @@
         await self.listen(0)
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.follow())]
 
-    @property
-    def leads(self):
-        return self.group.primary is self
-
     async def beat(self):
         while True:
             self.report()
@@ -255,10 +252,19 @@
         """Comes back with its log."""
         await self.listen(self.port)
         self.alive, self.paused_term = True, 0
+        self.leads = self.group.primary is self
         if not self.leads:
             self.group.align(self)
         self.report()
 
+    def step_down(self):
+        """Becomes a replica of the group's primary."""
+        if self.leads and self.group.primary is not self:
+            self.leads = False
+            self.group.record.say(f"{self.name}: follows")
+            self.group.align(self)
+            self.report()
+
     def applied(self):
         limit = time.monotonic() - (0 if self.leads else self.group.lag_s)
         return [c for c in self.log if c[4] <= limit]
@@ -353,8 +359,9 @@
         elif verb == "DEMOTE":
             self.group.record.add(f"{self.name}: DEMOTE {rest}")
             if self.leads and int(rest) > self.term:
-                self.group.primary = self.group.nobody
-                self.report()
+                if self.group.primary is self:
+                    self.group.primary = self.group.nobody
+                self.step_down()
             return [self.status_row()], "COMPLETE -"
         elif verb == "BEGIN":
             if rest != "READ" and not self.leads:
@@ -390,6 +397,8 @@
     async def commit(self, ident, writes):
         group, number = self.group, len(self.log) + 1
         self.log.append((self.term, number, ident, writes, time.monotonic()))
+        if group.primary is not self:
+            group.run_at_old_primary.add(ident)
         group.record.add(f"{self.name}: runs {ident} as {self.term}.{number}")
         # With syncReplicas, the commit is acknowledged once one replica has received it.
         while group.sync and not any(
@@ -418,6 +427,9 @@
         for number, zone in enumerate(zones):
             self.members[f"i-{number}"] = Member(self, f"i-{number}", zone)
         self.primary = self.members["i-0"]
+        self.primary.leads = True
+        self.fenced = True
+        self.run_at_old_primary = set()
         self.promoted = None  # hook that is called with the promoted member
 
     async def start(self):
@@ -426,6 +438,8 @@
 
     def align(self, member):
         """Rolls back what the primary's log doesn't have."""
+        if self.primary is self.nobody:
+            return
         keep = 0
         for mine, other in zip(member.log, self.primary.log):
             if mine[:3] != other[:3]:
@@ -442,12 +456,18 @@
         if self.promoted:
             self.promoted(member)
         self.primary = member
-        member.term = term
+        member.term, member.leads = term, True
         for other in self.members.values():
             other.paused_term = 0
-            if other is not member and other.alive:
+            if other is member or not other.alive:
+                continue
+            if not other.leads:
                 self.align(other)
-                other.report()
+            elif self.fenced:
+                other.step_down()
+            else:
+                # The old primary goes on until DEMOTE, or a second after it can reach the new one.
+                asyncio.get_running_loop().call_later(1.0, other.step_down)
         member.report()
 
 
@@ -555,6 +575,7 @@
                 outcome = (word, rest)
             else:
                 self.system.record.add(f"client {self.number}: {ident} -> {outcome} {rest}")
+                self.state = rest.split(" ")[0]
                 if outcome[0] == "ERROR":
                     raise Answer(outcome[1].split(" ")[0])
                 return ident, rows
@@ -624,17 +645,12 @@
         self.store = Store(self.record)
         await self.store.start()
         self.group = Group(self.record, self.store, "g1", self.zones, self.sync)
+        self.group.fenced = self.fenced
         await self.group.start()
         self.cloud = Promotions(self.record, self.group, self.fenced, self.promote_s)
         await self.cloud.start()
-        routes = [{"name": f"r-{d}", "host": d, "prefix": "/", "routeType": kind, "timeoutMs": 800,
-                   "targetLatencyMs": 200, "priority": 1, "backend": "g1", "attempts": 2,
-                   **({} if kind == "primary" else {"maxStalenessMs": 1500})}
-                  for d, kind in self.routes.items()]
-        config = {"version": 3, "routes": routes,
-                  "backends": [{"name": "g1", "maxConns": 16, "syncReplicas": self.sync}],
-                  "limits": {"txIdleMs": 3000}}
-        self.store.put("op", "config", json.dumps(config).encode())
+        self.version = 0
+        self.configure()
         self.directory = tempfile.mkdtemp(prefix="papayaspindle-review-")
         base = free_ports(18 * len(self.zones))
         for number, zone in enumerate(self.zones):
@@ -649,6 +665,18 @@
             await asyncio.sleep(0.1)
         return self
 
+    def configure(self):
+        """Writes the next version of the configuration."""
+        self.version += 3
+        routes = [{"name": f"r-{d}", "host": d, "prefix": "/", "routeType": kind, "timeoutMs": 800,
+                   "targetLatencyMs": 200, "priority": 1, "backend": "g1", "attempts": 2,
+                   **({} if kind == "primary" else {"maxStalenessMs": 1500})}
+                  for d, kind in self.routes.items()]
+        config = {"version": self.version, "routes": routes,
+                  "backends": [{"name": "g1", "maxConns": 16, "syncReplicas": self.sync}],
+                  "limits": {"txIdleMs": 3000}}
+        self.store.put("op", "config", json.dumps(config).encode())
+
     async def __aexit__(self, *_):
         for task in self.tasks:
             task.cancel()
