--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,71 +1,49 @@
-"""Cuts the primary off from the store on a platform that checks no fences, while a route is removed whose
-transactions are still open."""
+"""Kills all instances while a promotion is being prepared in a group with syncReplicas 1, on a platform
+that checks no fences; the primary was down for 3 s and comes back with its log."""
 
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
-from platform_standins import Answer, Client, System, main  # noqa: E402
+from platform_standins import System, main  # noqa: E402
 
-PAUSE_S = 2.7  # below txIdleMs (3 s)
-
-
-async def transact_forever(system, client, database):
-    """Sends transactions of one write with a pause before the COMMIT."""
-    while True:
-        try:
-            if client.writer is None:
-                await client.open(database)
-            await client.query("BEGIN")
-            try:
-                await client.query(f"WRITE k{client.number}x{client.count} data")
-                await asyncio.sleep(PAUSE_S)
-                ident, _ = await client.query("COMMIT")
-                system.acknowledged[ident] = True
-            except Answer as refusal:
-                if client.state != "I":
-                    await client.query("ROLLBACK")
-                if refusal.args[0] == "NODB":
-                    return
-            await asyncio.sleep(0.2)
-        except (Answer, OSError, ConnectionError, asyncio.TimeoutError):
-            client.close()
-            await asyncio.sleep(0.2)
+RECOVER_S = 12
 
 
 async def scenario(trouble):
-    routes = {"main": "primary", "other": "primary"}
-    async with System(FOLDER, fenced=False, sync=0, routes=routes) as system:
+    async with System(FOLDER, fenced=False, sync=1) as system:
         group, record = system.group, system.record
         primary = group.primary
-        for number in range(12):
-            client = Client(system, system.instances[number % 3], number)
-            system.tasks.append(asyncio.create_task(transact_forever(system, client, "other")))
-            await asyncio.sleep(0.24)
-        await asyncio.sleep(2)
-        if trouble:
-            primary.cut_from_store = True
-            record.say(f"trouble: {primary.name} is cut off from the store (primary_cut core, 5 s)")
+        system.operate(12, "main", 0.05)
+        started = time.monotonic()
         await asyncio.sleep(4)
-        del system.routes["other"]
-        system.configure()
-        record.say("plan: the route of the database 'other' is removed (config_change route)")
-        await asyncio.sleep(1)
-        primary.cut_from_store = False
-        record.say("trouble: over")
-        await asyncio.sleep(7)
-        broken = sorted(i for i in group.run_at_old_primary if i in system.acknowledged)
-        lost = system.missing(group.primary)
-        record.say(f"end: {len(system.acknowledged)} transactions acknowledged; "
-                   f"{len(group.run_at_old_primary)} committed at the old primary after the "
-                   f"promotion, {len(broken)} of them acknowledged; {len(lost)} acknowledged ones "
-                   f"are in no log")
-        for ident in broken[:5]:
-            record.say(f"committed at the old primary and acknowledged: {ident}")
-        record.say("ONE is broken" if broken else "ONE is kept")
-        return bool(broken)
+        fault = time.monotonic()
+        if trouble:
+            primary.crash()
+            record.say(f"trouble: {primary.name} crashes (srv_crash primary, 3 s)")
+            await asyncio.sleep(0.9)
+            system.kill_all()
+            record.say("trouble: all processes of the system are killed (final fault kill_all, 1 s)")
+            await asyncio.sleep(1.0)
+            await system.start_all()
+            record.say("trouble: the machines are back")
+            await asyncio.sleep(1.1)
+            await primary.restart()
+            record.say(f"trouble: {primary.name} is back with its log")
+        back = time.monotonic()
+        await asyncio.sleep(RECOVER_S + 12)
+        before, of_before = system.served(started, fault)
+        after, of_after = system.served(back + RECOVER_S, time.monotonic() - 2)
+        paused = [m.name for m in group.members.values() if m.paused_term]
+        record.say(f"before the fault: {before} of {of_before} requests served")
+        record.say(f"sent later than {RECOVER_S} s after all are back: {after} of {of_after} served")
+        record.say(f"primary: {getattr(group.primary, 'name', 'none')}; paused replicas: {paused}")
+        is_broken = of_after > 0 and before * 4 >= of_before and after * 4 < of_after
+        record.say("RECOVER is broken" if is_broken else "RECOVER is kept")
+        return is_broken
 
 
 main(scenario)
