--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -6,6 +6,8 @@
 import base64
 import json
 import os
+import random
+import shutil
 import signal
 import socket
 import tempfile
@@ -231,7 +233,7 @@
         while True:
             await asyncio.sleep(0.0015)
             primary = self.group.primary
-            if (primary is self or not self.alive or self.deaf or self.paused_term
+            if (self.leads or not self.alive or self.deaf or self.paused_term
                     or not primary.alive):
                 continue
             self.term = primary.term
@@ -473,7 +475,7 @@
 
 def free_ports(count):
     """Returns the first of `count` consecutive free ports."""
-    base = 20000 + os.getpid() * 37 % 9000
+    base = random.randrange(20000, 31000)
     while base < 32000:
         sockets = []
         try:
@@ -494,6 +496,7 @@
     def __init__(self, directory, name, zone, zones, base):
         self.directory, self.name, self.zone, self.zones = directory, name, zone, zones
         self.port, self.ready_port, self.base = base, base + 1, base + 2
+        self.process = None
 
     async def start(self, store, cloud, fenced):
         settings = {
@@ -640,8 +643,16 @@
         self.routes = routes or {"main": "primary"}
         self.acknowledged, self.operations = {}, []
         self.instances, self.tasks = [], []
+        self.directory = tempfile.mkdtemp(prefix="papayaspindle-review-")
 
     async def __aenter__(self):
+        try:
+            return await self.set_up()
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def set_up(self):
         self.store = Store(self.record)
         await self.store.start()
         self.group = Group(self.record, self.store, "g1", self.zones, self.sync)
@@ -651,13 +662,12 @@
         await self.cloud.start()
         self.version = 0
         self.configure()
-        self.directory = tempfile.mkdtemp(prefix="papayaspindle-review-")
         base = free_ports(18 * len(self.zones))
         for number, zone in enumerate(self.zones):
             instance = Instance(self.directory, f"frontend-{zone}-1", zone, self.zones,
                                 base + 18 * number)
-            await instance.start(self.store.port, self.cloud.port, self.fenced)
             self.instances.append(instance)
+            await instance.start(self.store.port, self.cloud.port, self.fenced)
         end = time.monotonic() + 15
         while not all([await i.is_ready() for i in self.instances]):
             if time.monotonic() > end:
@@ -681,6 +691,8 @@
         for task in self.tasks:
             task.cancel()
         for instance in self.instances:
+            if instance.process is None:
+                continue
             if instance.process.returncode is None:
                 instance.process.send_signal(signal.SIGCONT)
                 instance.process.send_signal(signal.SIGKILL)
@@ -691,6 +703,7 @@
                     if " promotion " in line or " platform " in line:
                         self.record.file.write(f"log {line}")
         self.record.file.close()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
     def load(self, clients, database, pause_s):
         for number in range(clients):
