--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,55 +1,49 @@
-"""Replaces a replica of a group with syncReplicas 1 as planned work, on a platform that checks no fences,
-while the other replica receives nothing and the primary crashes."""
+"""Kills all instances while a promotion is being prepared in a group with syncReplicas 1, on a platform
+that checks no fences; the primary was down for 3 s and comes back with its log."""
 
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 from platform_standins import System, main  # noqa: E402
 
+RECOVER_S = 12
+
 
 async def scenario(trouble):
     async with System(FOLDER, fenced=False, sync=1) as system:
         group, record = system.group, system.record
-        primary, leaving, deaf = group.members.values()
-        broken = []
-
-        def on_promotion(member):
-            missing = system.missing(member)
-            broken.extend(missing)
-            record.say(f"check: {member.name} is promoted; {len(missing)} of "
-                       f"{len(system.acknowledged)} acknowledged writes aren't in its log, "
-                       f"{len(system.missing(leaving))} aren't in the log of {leaving.name}")
-
-        group.promoted = on_promotion
-        system.load(9, "main", 0.03)
+        primary = group.primary
+        system.operate(12, "main", 0.05)
+        started = time.monotonic()
         await asyncio.sleep(4)
-        leaving.draining = True
-        leaving.report()
-        record.say(f"plan: {leaving.name} reports that it is draining (release)")
-        await asyncio.sleep(0.5)
-        if trouble:
-            deaf.deaf = True
-            record.say(f"trouble: {deaf.name} receives nothing (replica_lag deaf crash, 6 s)")
-        await asyncio.sleep(2)
+        fault = time.monotonic()
         if trouble:
             primary.crash()
-            record.say(f"trouble: {primary.name} crashes")
-            await asyncio.sleep(4)
-            deaf.deaf = False
+            record.say(f"trouble: {primary.name} crashes (srv_crash primary, 3 s)")
+            await asyncio.sleep(0.9)
+            system.kill_all()
+            record.say("trouble: all processes of the system are killed (final fault kill_all, 1 s)")
+            await asyncio.sleep(1.0)
+            await system.start_all()
+            record.say("trouble: the machines are back")
+            await asyncio.sleep(1.1)
             await primary.restart()
-            record.say("trouble: over")
-        await asyncio.sleep(5)
-        leader = group.primary
-        lost = system.missing(leader)
-        record.say(f"end: {len(system.acknowledged)} writes acknowledged, {len(lost)} of them not in "
-                   f"the log of the primary {getattr(leader, 'name', 'none')}")
-        for ident in broken[:5]:
-            record.say(f"lost: {ident}")
-        record.say("LOST is broken" if broken else "LOST is kept")
-        return bool(broken)
+            record.say(f"trouble: {primary.name} is back with its log")
+        back = time.monotonic()
+        await asyncio.sleep(RECOVER_S + 12)
+        before, of_before = system.served(started, fault)
+        after, of_after = system.served(back + RECOVER_S, time.monotonic() - 2)
+        paused = [m.name for m in group.members.values() if m.paused_term]
+        record.say(f"before the fault: {before} of {of_before} requests served")
+        record.say(f"sent later than {RECOVER_S} s after all are back: {after} of {of_after} served")
+        record.say(f"primary: {getattr(group.primary, 'name', 'none')}; paused replicas: {paused}")
+        is_broken = of_after > 0 and before * 4 >= of_before and after * 4 < of_after
+        record.say("RECOVER is broken" if is_broken else "RECOVER is kept")
+        return is_broken
 
 
 main(scenario)
