Open connections for statements without a customer beside those of customers

Cause: on a public route of a deployment with customers, a statement without a customer opened no connection to a member that had an idle connection of any customer. It waited for a connection of its own kind and was refused as overloaded after its objective.

--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -133,7 +133,7 @@
       fixed += kPrimaryReadCost;
     }
     Duration cost = member.mServiceTime * (member.mInFlight + 1) / member.Limit() + fixed;
-    if (!aOperation.mCustomer.empty() && !HasIdle(member, aOperation.mCustomer)) {
+    if (HasCustomers() && !HasIdle(member, aOperation.mCustomer)) {
       cost += kOpeningCost;
     }
     const auto runs =
--- a/src/libs/proxy/proxycore_customerconnections.cpp
+++ b/src/libs/proxy/proxycore_customerconnections.cpp
@@ -14,7 +14,7 @@
                             const Group& aGroup,
                             TimePoint aNow)
 {
-  if (aOperation.mCustomer.empty()) {
+  if (!HasCustomers()) {
     if (!NeedsConnection(aMember) || !MayOpen(aMember, aGroup, aNow)) {
       return OpeningResult::Unavailable;
     }
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -77,12 +77,12 @@
     }
     // The cost of a candidate includes an opening, so a cheaper one than those that have
     // idle connections is worth it.
-    if (!aOperation.mCustomer.empty() && !HasIdle(*member, aOperation.mCustomer) &&
+    if (HasCustomers() && !HasIdle(*member, aOperation.mCustomer) &&
         OpenForOperation(aOperation, *member, aGroup, aNow) == OpeningResult::Opening) {
       return false;
     }
   }
-  if (aOperation.mCustomer.empty()) {
+  if (!HasCustomers()) {
     for (Member* member : candidates) {
       if (OpenForOperation(aOperation, *member, aGroup, aNow) == OpeningResult::Opening) {
         break;
--- a/tests/auto/proxy/tst_customerconnections.cpp
+++ b/tests/auto/proxy/tst_customerconnections.cpp
@@ -107,6 +107,26 @@
   }
 }
 
+// Load: clients of a public route, beside customers that hold idle connections. Guards
+// against statements without a customer that wait until they are refused, because an idle
+// connection of a customer counts as one that they can use.
+TEST_CASE("a statement of a public route gets a connection beside those of customers")
+{
+  Fixture fixture(2);
+  ProxyConfiguration configuration = fixture.mCore.Configuration();
+  configuration.mVersion++;
+  configuration.mRoutes["main"].mIsPublic = true;
+  fixture.Apply(configuration);
+  fixture.Open(1, Name(0), "main");
+  fixture.RunWrite(1);
+  fixture.AnswerWrites();
+  fixture.OpenSession(2, "main");
+  fixture.RunWrite(2);
+  REQUIRE(fixture.CustomerOf(CommandKind::Write).empty());
+  fixture.AnswerWrites();
+  REQUIRE_FALSE(fixture.LastAnswer(2).mError);
+}
+
 // Load: the statements of 80 customers arrive at the same time. Guards against a queue in
 // which the statements behind a waiting one are blocked.
 TEST_CASE("statements of several customers that wait together are served")
