Let both threads take a request before the queue of the test is filled

Cause: the test expects that 2 threads and 64 places take 66 of 100 requests. A thread that had not run yet left its request in the queue, and 65 were taken. Change: the first two requests run before the others are sent. The expected counts stay.

--- a/tests/auto/transport/tst_peercalls.cpp
+++ b/tests/auto/transport/tst_peercalls.cpp
@@ -78,7 +78,9 @@
   PeerFixture peer;
   std::promise<void> release;
   std::shared_future<void> released = release.get_future().share();
+  std::atomic<int> running = 0;
   peer.mServer.Register("Forward", [&](const PeerRequest& aRequest) {
+    running++;
     released.wait();
     return aRequest.mBody;
   });
@@ -86,10 +88,15 @@
   PeerClient client{ {} };
   const std::string address = peer.mServer.Address();
   std::vector<std::future<Result<std::string>>> forwards;
+  constexpr int kThreads = 2;
   constexpr int kForwards = 100;
   for (int i = 0; i < kForwards; ++i) {
     forwards.push_back(std::async(
       std::launch::async, [&] { return client.Call(CallTo(address, "Forward", "f")); }));
+    // A request that no thread has taken yet occupies one of the 64 places.
+    while (i == kThreads - 1 && running < kThreads) {
+      std::this_thread::yield();
+    }
   }
   CHECK(IsOk(client.Call(CallTo(address, "Echo", "probe"))));
   // 2 threads and 64 places take 66 requests; the rest is refused at once.
