Avoid homes without a connection until a ping opens one

Cause: a home whose connection was lost or not accepted was avoided for 1 to 8 s, and then the next statements waited up to 250 ms for a connection, at two homes in turn. Change: HomeMonitor keeps such homes unresponsive and pings them; HomeTable chooses unresponsive homes only for a first attempt; up to three homes are tried.

--- a/src/libs/proxy/homemonitor.cpp
+++ b/src/libs/proxy/homemonitor.cpp
@@ -14,8 +14,10 @@
 constexpr Duration kSilenceBeforePing = 100ms;
 // Many round trips within a region, and the turn of the event loop of a busy instance.
 constexpr Duration kPingTimeout = 150ms;
-// Interval of the pings to an unresponsive home.
+// Interval of the pings to an unresponsive home, which doubles with each lost connection
+// up to the maximum.
 constexpr Duration kRetryInterval = 250ms;
+constexpr Duration kMaxRetryInterval = 1s;
 
 } // namespace
 
@@ -53,15 +55,33 @@
 }
 
 void
-HomeMonitor::OnDisconnected(const std::string& aHome)
+HomeMonitor::OnDisconnected(const std::string& aHome, TimePoint aNow)
 {
   const auto found = mHomes.find(aHome);
   if (found == mHomes.end()) {
     return;
   }
-  // The failure of its statements makes other homes preferred.
-  found->second.mPingedAt.reset();
-  SetResponsive(aHome, found->second, true);
+  Home& home = found->second;
+  // A failed attempt to connect ends the ping that started it.
+  home.mPingPause = home.mIsResponsive ? kRetryInterval
+                                       : std::min(home.mPingPause * 2, kMaxRetryInterval);
+  home.mPingedAt = aNow;
+  mNextCheck = std::min(mNextCheck, aNow + home.mPingPause);
+  SetResponsive(aHome, home, false);
+}
+
+void
+HomeMonitor::RemoveUnlisted(
+  const std::function<bool(const std::string& aInstance)>& aIsListed)
+{
+  for (auto home = mHomes.begin(); home != mHomes.end();) {
+    if (aIsListed(home->first) || home->second.mUnanswered > 0) {
+      ++home;
+      continue;
+    }
+    SetResponsive(home->first, home->second, true);
+    home = mHomes.erase(home);
+  }
 }
 
 void
@@ -73,7 +93,7 @@
   mNextCheck = aNow + kCheckInterval;
   for (auto& [name, home] : mHomes) {
     if (!home.mIsResponsive) {
-      if (!home.mPingedAt || aNow - *home.mPingedAt >= kRetryInterval) {
+      if (!home.mPingedAt || aNow - *home.mPingedAt >= home.mPingPause) {
         home.mPingedAt = aNow;
         mHooks.mPing(name);
       }
@@ -86,6 +106,7 @@
       home.mPingedAt = aNow;
       mHooks.mPing(name);
     } else if (aNow - *home.mPingedAt >= kPingTimeout) {
+      home.mPingPause = kRetryInterval;
       SetResponsive(name, home, false);
     }
   }
--- a/src/libs/proxy/homemonitor.h
+++ b/src/libs/proxy/homemonitor.h
@@ -25,12 +25,16 @@
 };
 
 /**
- * Detects home instances that accept forwarded statements but don't respond, such as a
- * suspended process, whose connections stay open.
+ * Detects home instances that can't be reached, and those that accept forwarded
+ * statements but don't respond, such as a suspended process, whose connections stay open.
  *
  * A statement may wait at its home for longer than it takes to detect a suspension, so a
  * missing answer alone is no sign: a home that sends nothing while answers are due is
  * pinged, and is unresponsive if it doesn't answer the ping either.
+ *
+ * A home whose connection has ended or couldn't be opened is unresponsive until a ping
+ * opens a connection again. Without the pings, statements would have to find out, and
+ * behind a partition each of them would wait for a connection that is not accepted.
  */
 class HomeMonitor
 {
@@ -43,8 +47,10 @@
   void OnFinished(const std::string& aHome);
   /** Handles that a home has sent any data, or has accepted a connection. */
   void OnResponse(const std::string& aHome, TimePoint aNow);
-  /** Handles that the connection to a home has ended. */
-  void OnDisconnected(const std::string& aHome);
+  /** Handles that the connection to a home has ended or couldn't be opened. */
+  void OnDisconnected(const std::string& aHome, TimePoint aNow);
+  /** Removes homes that are not listed any more. */
+  void RemoveUnlisted(const std::function<bool(const std::string& aInstance)>& aIsListed);
   void OnTimer(TimePoint aNow);
 
   /** @return when OnTimer has to be called next */
@@ -60,6 +66,8 @@
     TimePoint mSilentSince;
     /** When an unanswered ping was sent. */
     std::optional<TimePoint> mPingedAt;
+    /** Time between two pings while the home is unresponsive. */
+    Duration mPingPause{};
     bool mIsResponsive = true;
   };
 
--- a/src/libs/proxy/hometable.cpp
+++ b/src/libs/proxy/hometable.cpp
@@ -109,7 +109,7 @@
   std::optional<std::string> chosen;
   std::pair<int, std::uint64_t> chosenRank;
   for (const std::string& home : HomesOf(aGroup)) {
-    if (aExcluded.contains(home)) {
+    if (IsExcluded(home, aExcluded)) {
       continue;
     }
     const auto rank = RankOf(home, aGroup, aNow);
@@ -152,6 +152,16 @@
          (avoided != mAvoided.end() && avoided->second.mUntil > aNow);
 }
 
+bool
+HomeTable::IsExcluded(const std::string& aHome,
+                      const std::set<std::string>& aExcluded) const
+{
+  // A statement that has already failed elsewhere would only wait at an unresponsive
+  // home.
+  return aExcluded.contains(aHome) ||
+         (!aExcluded.empty() && mUnresponsive.contains(aHome));
+}
+
 bool
 HomeTable::IsNear(const std::string& aInstance) const
 {
@@ -175,7 +185,7 @@
   std::tuple<bool, bool, bool, std::uint64_t> chosenRank;
   for (std::size_t place = 0; place < ordered.size(); place++) {
     const std::string home(ordered[place].second);
-    if (aExcluded.contains(home)) {
+    if (IsExcluded(home, aExcluded)) {
       continue;
     }
     const bool isSpare = place >= aSpread;
--- a/src/libs/proxy/hometable.h
+++ b/src/libs/proxy/hometable.h
@@ -68,7 +68,8 @@
   /**
    * @param aExcluded homes that must not be chosen
    * @return home that receives a forwarded statement, preferably in this instance's
-   * availability zone; nothing when every home is excluded
+   * availability zone; nothing when every home is excluded, or when some are and the
+   * others are unresponsive
    */
   [[nodiscard]] std::optional<std::string> PickHome(
     std::string_view aGroup,
@@ -118,6 +119,10 @@
 
   /** @return whether the home was lost lately or doesn't respond */
   [[nodiscard]] bool IsAvoided(const std::string& aHome, TimePoint aNow) const;
+  /** @return whether the home must not be chosen for a statement that the excluded homes
+   * have refused or lost */
+  [[nodiscard]] bool IsExcluded(const std::string& aHome,
+                                const std::set<std::string>& aExcluded) const;
   /** @return whether the instance is in this instance's availability zone */
   [[nodiscard]] bool IsNear(const std::string& aInstance) const;
   /** @return rank of a home in PickHome, the preferred one first */
--- a/src/libs/proxy/proxycore_forwarding.cpp
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -1,14 +1,18 @@
 #include "proxy/proxycore.h"
 
+#include "proxy/hometable.h"
 #include "proxy/proxytimes.h"
 
 namespace papayaspindle::proxy {
 
 namespace {
 
-// Number of home instances that a statement is sent to before the client receives an
+// Number of home instances that may refuse a statement before the client receives an
 // error.
 constexpr std::size_t kMaxHomeAttempts = 2;
+// Number of home instances that may refuse a statement or be out of reach: all but the
+// last one, which HomeTable would choose only as the least likely to answer.
+constexpr std::size_t kMaxLostHomes = HomeTable::kHomesPerGroup - 1;
 // Time for the home's answer to travel back: the home may answer as late as the deadline.
 constexpr Duration kHomeAnswerMargin = std::chrono::milliseconds(50);
 
@@ -66,7 +70,7 @@
   std::string home = session.mTransaction ? session.mTransaction->mHome : std::string();
   if (home.empty()) {
     const auto picked =
-      session.mIsForwarded || aOperation.mRefusedHomes.size() >= kMaxHomeAttempts
+      session.mIsForwarded || aOperation.mRefusedHomes.size() >= kMaxLostHomes
         ? std::nullopt
         : PickHome(aOperation, aOperation.mRefusedHomes, aNow);
     if (picked == mSettings.mInstance) {
--- a/tests/auto/proxy/tst_homemonitor.cpp
+++ b/tests/auto/proxy/tst_homemonitor.cpp
@@ -27,7 +27,11 @@
     HomeMonitorHooks hooks;
     hooks.mPing = [this](const std::string& aHome) {
       mPings++;
-      mPongs.emplace_back(mNow + mPongDelay, aHome);
+      if (mUnreachable.contains(aHome)) {
+        mFailures.emplace_back(mNow + 250ms, aHome);
+      } else {
+        mPongs.emplace_back(mNow + mPongDelay, aHome);
+      }
     };
     hooks.mOnChanged = [this](const std::string& aHome, bool aIsResponsive) {
       mChanges.emplace_back(aHome, aIsResponsive);
@@ -48,6 +52,13 @@
           mMonitor.OnResponse(home, mNow);
         }
       }
+      for (const auto& [at, home] : std::exchange(mFailures, {})) {
+        if (at > mNow) {
+          mFailures.emplace_back(at, home);
+        } else {
+          mMonitor.OnDisconnected(home, mNow);
+        }
+      }
       if (mNow >= mMonitor.NextTimer()) {
         mMonitor.OnTimer(mNow);
       }
@@ -57,8 +68,11 @@
   TimePoint mNow{ std::chrono::hours(1) };
   Duration mPongDelay = 5ms;
   std::set<std::string> mSuspended;
+  std::set<std::string> mUnreachable;
   std::size_t mPings = 0;
   std::vector<std::pair<TimePoint, std::string>> mPongs;
+  /** Attempts to open a connection, by the time at which they fail. */
+  std::vector<std::pair<TimePoint, std::string>> mFailures;
   std::vector<std::pair<std::string, bool>> mChanges;
   HomeMonitor mMonitor;
 };
@@ -104,3 +118,38 @@
   REQUIRE(simulation.mPings == 0);
   REQUIRE(simulation.mMonitor.NextTimer() == TimePoint::max());
 }
+
+// Guards against statements that find out again and again that a home behind a partition
+// can't be reached, each after the time limit for opening a connection.
+TEST_CASE("a home without a connection is unresponsive until a ping opens one")
+{
+  MonitorSimulation simulation;
+  simulation.mUnreachable.insert("home");
+  simulation.mMonitor.OnSent("home", simulation.mNow);
+  simulation.mMonitor.OnFinished("home");
+  simulation.mMonitor.OnDisconnected("home", simulation.mNow);
+  REQUIRE_FALSE(simulation.mMonitor.IsResponsive("home"));
+  simulation.Run(8s);
+  REQUIRE_FALSE(simulation.mMonitor.IsResponsive("home"));
+  REQUIRE(simulation.mChanges.size() == 1);
+  REQUIRE(simulation.mPings <= 10);
+  simulation.mUnreachable.clear();
+  simulation.Run(1500ms);
+  REQUIRE(simulation.mMonitor.IsResponsive("home"));
+}
+
+// Guards against an instance that left for good and is pinged forever, and against a home
+// that stays avoided when it is listed again.
+TEST_CASE("an unlisted home is not pinged, and counts as responsive when it is listed")
+{
+  MonitorSimulation simulation;
+  simulation.mUnreachable.insert("home");
+  simulation.mMonitor.OnSent("home", simulation.mNow);
+  simulation.mMonitor.OnFinished("home");
+  simulation.mMonitor.OnDisconnected("home", simulation.mNow);
+  simulation.mMonitor.RemoveUnlisted([](const std::string&) { return false; });
+  REQUIRE(simulation.mChanges.back() == std::pair<std::string, bool>("home", true));
+  simulation.Run(3s);
+  REQUIRE(simulation.mPings == 0);
+  REQUIRE(simulation.mMonitor.NextTimer() == TimePoint::max());
+}
--- a/tests/auto/proxy/tst_instances.cpp
+++ b/tests/auto/proxy/tst_instances.cpp
@@ -149,6 +149,28 @@
   REQUIRE(avoidedFor() == 1s);
 }
 
+// Guards against a statement that waits for one unreachable home after the other, each
+// for the time limit of opening a connection.
+TEST_CASE("an unresponsive home is chosen for a first attempt only")
+{
+  HomeTable homes("i0", "z0");
+  homes.SetInstances(MakeInstances(8));
+  const TimePoint now{ std::chrono::hours(1) };
+  std::set<std::string> all;
+  for (const std::string& home : homes.HomesByPreference("group", now)) {
+    all.insert(home);
+    homes.SetResponsive(home, false);
+  }
+  REQUIRE(all.size() == 4);
+  const auto first = homes.PickHome("group", {}, now);
+  REQUIRE(first);
+  REQUIRE_FALSE(homes.PickHome("group", { *first }, now));
+  REQUIRE_FALSE(homes.PickCustomerHome("group", "acme", 1, { *first }, now));
+  all.erase(*first);
+  homes.SetResponsive(*all.begin(), true);
+  REQUIRE(homes.PickHome("group", { *first }, now) == *all.begin());
+}
+
 TEST_CASE("a leaving instance is no home of any group")
 {
   auto instances = MakeInstances(60);
