Move the queue of waiting operations out of the proxy core

Cause: ProxyCore kept the queue of each group, its order, the count of operations ahead and the predicted wait, besides sessions, routing and connections. ConcurrencyWindow and WorkEstimate move there. The order, the constants and the log texts are the same. Operations carry their key, by which the queue excludes an operation from its own count.

--- a/src/libs/proxy/concurrencywindow.cpp
+++ b/src/libs/proxy/admission/concurrencywindow.cpp
@@ -1,4 +1,4 @@
-#include "proxy/concurrencywindow.h"
+#include "proxy/admission/concurrencywindow.h"
 
 #include <algorithm>
 
--- a/src/libs/proxy/workestimate.cpp
+++ b/src/libs/proxy/admission/workestimate.cpp
@@ -1,4 +1,4 @@
-#include "proxy/workestimate.h"
+#include "proxy/admission/workestimate.h"
 
 #include <algorithm>
 
--- a/src/libs/proxy/group.h
+++ b/src/libs/proxy/group.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "proxy/admission/operationqueue.h"
 #include "proxy/positionsamples.h"
 #include "proxy/proxyconfiguration.h"
-#include "proxy/session.h"
 
 #include <string>
 #include <vector>
@@ -20,8 +20,8 @@
   /** Shortest latency objective of the group's routes. */
   Duration mShortestObjective = std::chrono::milliseconds(200);
   PositionSamples mSamples{ kSampleRetention };
-  /** Operations that wait for a connection, in the order of their arrival. */
-  std::vector<OperationKey> mWaiting;
+  /** Operations that wait for a connection. */
+  OperationQueue mWaiting;
   /** When the last read with a staleness limit arrived. */
   TimePoint mLastBoundedRead;
   /** Member that was last proven to be the leader. */
--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -3,7 +3,7 @@
 #include "core/logposition.h"
 #include "core/timetypes.h"
 #include "decision/capacity/membercapacity.h"
-#include "proxy/concurrencywindow.h"
+#include "proxy/admission/concurrencywindow.h"
 #include "proxy/connections/connectionplan.h"
 #include "proxy/memberentry.h"
 #include "proxy/session.h"
--- a/src/libs/proxy/operation.h
+++ b/src/libs/proxy/operation.h
@@ -2,6 +2,7 @@
 
 #include "core/logposition.h"
 #include "core/timetypes.h"
+#include "proxy/admission/operationqueue.h"
 #include "proxy/proxyconfiguration.h"
 #include "proxy/session.h"
 
@@ -43,6 +44,8 @@
 /** A client's statement on its way to a member and back. */
 struct Operation
 {
+  /** Key in the table of operations; 0 for an operation that is only explained. */
+  OperationKey mKey = 0;
   SessionKey mSession = 0;
   Statement mStatement;
   OperationPurpose mPurpose = OperationPurpose::SingleRead;
@@ -81,6 +84,19 @@
   bool mIsPastObjective = false;
   /** Earliest time of the next attempt. */
   TimePoint mRetryAt;
+
+  /** @return properties that determine the operation's place in the queue */
+  [[nodiscard]] OperationClass Class() const
+  {
+    return { mRoute.mPriority,
+             { mRoute.mConsistency, mStatement.mKind == StatementKind::Commit },
+             mNeedsPrimary };
+  }
+  /** @return the operation as it waits in its group's queue */
+  [[nodiscard]] QueuedOperation QueueEntry() const
+  {
+    return { mKey, Class(), mCustomer, mArrivedAt, mIsPastObjective };
+  }
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/admission/workestimates.h"
 #include "proxy/explanation.h"
 #include "proxy/group.h"
 #include "proxy/leadership/primaryhealth.h"
@@ -9,9 +10,7 @@
 #include "proxy/proxyhooks.h"
 #include "proxy/proxysettings.h"
 #include "proxy/session.h"
-#include "proxy/workestimate.h"
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -153,9 +152,6 @@
   [[nodiscard]] Explanation Explain(const StatementInquiry& aInquiry, TimePoint aNow);
 
 private:
-  /** Two kinds (reads and writes, commits) for each of the three consistencies. */
-  static constexpr std::size_t kWorkKinds = 6;
-
   struct StatusQuery
   {
     std::string mMember;
@@ -324,12 +320,6 @@
   /** Refuses a new operation whose predicted wait exceeds the latency objective. */
   void RefuseIfOverloaded(OperationKey aKey, Group& aGroup, TimePoint aNow);
   void OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow);
-  /** @return number of waiting operations that compete for the same members and are
-   * dispatched earlier */
-  [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
-                                         const Group& aGroup) const;
-  /** @return index in mWorkEstimates for the operation's kind of work */
-  [[nodiscard]] static std::size_t WorkEstimateIndex(const Operation& aOperation);
   [[nodiscard]] std::optional<LogPosition> RequiredPosition(const Operation& aOperation,
                                                             const Group& aGroup,
                                                             TimePoint aNow,
@@ -493,8 +483,7 @@
   std::size_t mPreparedNameBytes = 0;
   /** Number of names given so far; a name never gets a second meaning. */
   std::uint64_t mPreparedNameCount = 0;
-  /** Estimates by consistency, first those of reads and writes, then of commits. */
-  std::array<WorkEstimate, kWorkKinds> mWorkEstimates;
+  WorkEstimates mWorkEstimates;
   OperationKey mNextOperation = 1;
   ConnectionKey mNextConnection = 1;
   TimePoint mNextMaintenance;
--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -21,56 +21,24 @@
                                    aOperation.mRoute.mLatencyObjective * kObjectiveShare);
 }
 
-std::size_t
-ProxyCore::WorkEstimateIndex(const Operation& aOperation)
-{
-  const std::size_t kind = static_cast<std::size_t>(aOperation.mRoute.mConsistency);
-  const bool isCommit = aOperation.mStatement.mKind == StatementKind::Commit;
-  return kind + (isCommit ? kWorkKinds / 2 : 0);
-}
-
-std::size_t
-ProxyCore::WaitingAhead(const Operation& aOperation, const Group& aGroup) const
-{
-  const auto urgency = [&](const Operation& aOther) {
-    return std::pair(aOther.mRoute.mPriority,
-                     mWorkEstimates[WorkEstimateIndex(aOther)].LowerQuartile());
-  };
-  return static_cast<std::size_t>(
-    std::count_if(aGroup.mWaiting.begin(), aGroup.mWaiting.end(), [&](OperationKey aKey) {
-      const Operation& other = mOperations.at(aKey);
-      return &other != &aOperation && other.mNeedsPrimary == aOperation.mNeedsPrimary &&
-             !other.mIsPastObjective && urgency(other) <= urgency(aOperation);
-    }));
-}
-
 std::optional<Duration>
 ProxyCore::PredictedWait(const Operation& aOperation, const Group& aGroup, TimePoint aNow)
 {
-  std::vector<const Member*> members;
+  std::vector<MemberThroughput> candidates;
+  const auto add = [&](const Member& aMember) {
+    candidates.push_back({ aMember.Limit(), aMember.mServiceTime });
+  };
   if (aOperation.mNeedsPrimary || aOperation.mNeedsLeadershipProof) {
     if (const Member* primary = PrimaryMember(aGroup, aNow)) {
-      members.push_back(primary);
+      add(*primary);
     }
   } else {
     for (const Member* member : ReadCandidates(aOperation, aGroup, aNow)) {
-      members.push_back(member);
+      add(*member);
     }
   }
-  // Number of statements per second that this instance can complete at all candidates.
-  double perSecond = 0;
-  for (const Member* member : members) {
-    const double seconds =
-      std::chrono::duration<double>(std::max(member->mServiceTime, kMinServiceTime))
-        .count();
-    perSecond += member->Limit() / seconds;
-  }
-  if (perSecond <= 0) {
-    return std::nullopt;
-  }
-  const double ahead = static_cast<double>(WaitingAhead(aOperation, aGroup)) + 1;
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(ahead / perSecond));
+  return aGroup.mWaiting.PredictedWait(
+    aOperation.mKey, aOperation.Class(), mWorkEstimates, candidates);
 }
 
 void
@@ -116,7 +84,7 @@
                           TimePoint aNow)
 {
   const Member* primary = PrimaryMember(aGroup, aNow);
-  const Duration usual = mWorkEstimates[WorkEstimateIndex(aOperation)].Mean();
+  const Duration usual = mWorkEstimates.Of(aOperation.Class().mWork).Mean();
   std::vector<Member*> members;
   std::vector<ReadOption> options;
   for (const std::string& id : aGroup.mMembers) {
@@ -147,7 +115,10 @@
     members.push_back(&member);
   }
   std::vector<Member*> candidates;
-  const auto ahead = [&] { return WaitingAhead(aOperation, aGroup); };
+  const auto ahead = [&] {
+    return aGroup.mWaiting.CountAhead(
+      aOperation.mKey, aOperation.Class(), mWorkEstimates);
+  };
   for (const std::size_t index :
        OrderReadOptions(options, aNow - aOperation.mArrivedAt, ahead)) {
     candidates.push_back(members[index]);
@@ -180,9 +151,12 @@
   const TimePoint objective = ObjectiveLimit(aOperation);
   if (!aOperation.mIsPastObjective && aNow >= objective) {
     aOperation.mIsPastObjective = true;
+    group.mWaiting.MarkPastObjective(aKey);
     // While other statements can still be answered within their objective, statements
     // that have missed theirs are refused.
-    if (WaitingAhead(aOperation, group) > 0 && PredictedWait(aOperation, group, aNow)) {
+    const std::size_t ahead =
+      group.mWaiting.CountAhead(aKey, aOperation.Class(), mWorkEstimates);
+    if (ahead > 0 && PredictedWait(aOperation, group, aNow)) {
       group.mOverloadedAt = aNow;
       FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
       return;
--- a/src/libs/proxy/proxycore_customerconnections.cpp
+++ b/src/libs/proxy/proxycore_customerconnections.cpp
@@ -35,16 +35,13 @@
   demand.mOwn = own == aMember.mByCustomer.end() ? CustomerConnections{} : own->second;
   // Customers with waiting statements keep their idle connections, or connections would
   // be closed and opened again for each statement.
-  std::set<std::string_view> waiting{ aOperation.mCustomer };
-  demand.mWaiting = 0;
-  for (const OperationKey key : aGroup.mWaiting) {
-    const Operation& other = mOperations.at(key);
-    if (other.mCustomer == aOperation.mCustomer) {
-      demand.mWaiting += other.mNeedsPrimary == aOperation.mNeedsPrimary ? 1 : 0;
-    } else if (aNow < aOperation.mArrivedAt + aOperation.mRoute.mLatencyObjective / 2) {
-      waiting.insert(other.mCustomer);
-    }
+  std::set<std::string_view> waiting;
+  if (aNow < aOperation.mArrivedAt + aOperation.mRoute.mLatencyObjective / 2) {
+    waiting = aGroup.mWaiting.Customers();
   }
+  waiting.insert(aOperation.mCustomer);
+  demand.mWaiting =
+    aGroup.mWaiting.CountOf(aOperation.mCustomer, aOperation.mNeedsPrimary);
   if (!aOperation.mNeedsPrimary) {
     // A connection that is being opened to any member serves the read.
     demand.mOwn.mOpening = OpeningCount(aGroup, aOperation.mCustomer);
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -2,9 +2,7 @@
 
 #include "proxy/proxytimes.h"
 
-#include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -13,28 +11,13 @@
 void
 ProxyCore::DispatchWaiting(Group& aGroup, TimePoint aNow)
 {
-  if (aGroup.mWaiting.empty()) {
+  if (aGroup.mWaiting.IsEmpty()) {
     return;
   }
   // An operation that finds no connection blocks later ones of the same kind only.
   // Where connections bear the names of customers, it blocks those of its customer only.
   std::set<std::pair<std::string_view, bool>> blocked;
-  std::vector<OperationKey> waiting = aGroup.mWaiting;
-  // Operations that can still meet their objective go first, then by priority, then by
-  // usual time (more callers are answered in time if short ones go first), then by
-  // arrival.
-  std::stable_sort(
-    waiting.begin(), waiting.end(), [&](OperationKey aLeft, OperationKey aRight) {
-      const Operation& left = mOperations.at(aLeft);
-      const Operation& right = mOperations.at(aRight);
-      return std::tuple(left.mIsPastObjective,
-                        left.mRoute.mPriority,
-                        mWorkEstimates[WorkEstimateIndex(left)].LowerQuartile()) <
-             std::tuple(right.mIsPastObjective,
-                        right.mRoute.mPriority,
-                        mWorkEstimates[WorkEstimateIndex(right)].LowerQuartile());
-    });
-  for (const OperationKey key : waiting) {
+  for (const OperationKey key : aGroup.mWaiting.DispatchOrder(mWorkEstimates)) {
     const auto found = mOperations.find(key);
     if (found == mOperations.end()) {
       continue;
@@ -46,7 +29,7 @@
       continue;
     }
     if (TryStartOperation(key, operation, aGroup, aNow)) {
-      std::erase(aGroup.mWaiting, key);
+      aGroup.mWaiting.Remove(key);
     } else if (operation.mRefusingMembers.empty()) {
       blocked.emplace(operation.mCustomer, needsPrimary);
     }
--- a/src/libs/proxy/proxycore_explain.cpp
+++ b/src/libs/proxy/proxycore_explain.cpp
@@ -108,7 +108,7 @@
                                     state.mInFlight < state.mWindow);
     aExplanation.mMembers.push_back(std::move(state));
   }
-  aExplanation.mWaiting = group->mWaiting.size();
+  aExplanation.mWaiting = group->mWaiting.Size();
   aExplanation.mPredictedWait = PredictedWait(operation, *group, aNow);
   if (order.empty()) {
     aExplanation.mRefusals.emplace_back("BUSY", "no member could run it in time");
--- a/src/libs/proxy/proxycore_forwarding.cpp
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -284,6 +284,7 @@
   operation.mArrivedAt = aNow - aStatement.mWaited;
   operation.mDeadline = operation.mArrivedAt + operation.mRoute.mStatementTimeout;
   const OperationKey key = mNextOperation++;
+  operation.mKey = key;
   session.mOperation = key;
   SubmitOperation(
     key, mOperations.emplace(key, std::move(operation)).first->second, aNow);
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -162,11 +162,7 @@
   aOperation.mRetryAt = aNow + aPause;
   mHooks.mCount("operation_retried");
   Group& group = mGroups[aOperation.mGroup];
-  const auto place =
-    std::find_if(group.mWaiting.begin(), group.mWaiting.end(), [&](OperationKey aOther) {
-      return mOperations.at(aOther).mArrivedAt > aOperation.mArrivedAt;
-    });
-  group.mWaiting.insert(place, aKey);
+  group.mWaiting.AddByArrival(aOperation.QueueEntry());
   ScheduleOperation(
     aKey, aPause > Duration::zero() ? aOperation.mRetryAt : WaitLimit(aOperation));
   if (aPause == Duration::zero()) {
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -247,7 +247,7 @@
   const OperationKey key = *connection.mOperation;
   Operation& operation = mOperations.at(key);
   Member& member = mMembers.find(connection.mMember)->second;
-  WorkEstimate& work = mWorkEstimates[WorkEstimateIndex(operation)];
+  WorkEstimate& work = mWorkEstimates.Of(operation.Class().mWork);
   member.mCapacity.OnEnd({ aCommand.mSentAt,
                            aNow,
                            work.Mean(),
--- a/src/libs/proxy/proxycore_sessionlife.cpp
+++ b/src/libs/proxy/proxycore_sessionlife.cpp
@@ -129,7 +129,7 @@
     mHooks.mCancelToken(operation.mCustomer, aKey);
   }
   if (operation.mStage == OperationStage::Waiting) {
-    std::erase(mGroups[operation.mGroup].mWaiting, aKey);
+    mGroups[operation.mGroup].mWaiting.Remove(aKey);
   }
   if (operation.mConnection) {
     const auto connection = mConnections.find(*operation.mConnection);
--- a/src/libs/proxy/proxycore_sessions.cpp
+++ b/src/libs/proxy/proxycore_sessions.cpp
@@ -181,6 +181,7 @@
   operation.mArrivedAt = aNow;
   operation.mDeadline = aNow + operation.mRoute.mStatementTimeout;
   const OperationKey key = mNextOperation++;
+  operation.mKey = key;
   aSession.mOperation = key;
   Operation& started = mOperations.emplace(key, std::move(operation)).first->second;
   if (NeedsToken(started)) {
@@ -229,7 +230,7 @@
   if (aOperation.mRoute.mConsistency != Consistency::Primary) {
     group.mLastBoundedRead = aNow;
   }
-  group.mWaiting.push_back(aKey);
+  group.mWaiting.Add(aOperation.QueueEntry());
   ScheduleOperation(aKey, std::min(ObjectiveLimit(aOperation), WaitLimit(aOperation)));
   DispatchWaiting(group, aNow);
   RefuseIfOverloaded(aKey, group, aNow);
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -63,8 +63,6 @@
 /** Fraction of the latency objective that a statement may wait for a connection; the rest
  * is reserved for running the statement. */
 constexpr double kObjectiveShare = 0.8;
-/** Lower bound of the service time in predictions of the wait. */
-constexpr Duration kMinServiceTime = 1ms;
 /** Assumed extra cost of a read in another availability zone: one round trip. */
 constexpr Duration kRemoteZoneCost = 3ms;
 /** Assumed extra cost of a read at the primary; replicas are preferred because only the
--- a/src/libs/proxy/session.h
+++ b/src/libs/proxy/session.h
@@ -3,6 +3,7 @@
 #include "core/logposition.h"
 #include "core/timetypes.h"
 #include "proxy/customers/keydigest.h"
+#include "proxy/keys.h"
 #include "proxy/memberreply.h"
 #include "proxy/proxyconfiguration.h"
 #include "proxy/statement.h"
@@ -16,10 +17,6 @@
 
 namespace papayaspindle::proxy {
 
-using SessionKey = std::uint64_t;
-using ConnectionKey = std::uint64_t;
-using OperationKey = std::uint64_t;
-
 /** Session values by name. */
 using SessionValues = std::map<std::string, std::string, std::less<>>;
 
--- a/tests/auto/capacity/groupsimulation.h
+++ b/tests/auto/capacity/groupsimulation.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "decision/capacity/membercapacity.h"
-#include "proxy/concurrencywindow.h"
-#include "proxy/workestimate.h"
+#include "proxy/admission/concurrencywindow.h"
+#include "proxy/admission/workestimate.h"
 
 #include <array>
 #include <cstddef>
--- a/tests/auto/proxy/tst_proxyoverload.cpp
+++ b/tests/auto/proxy/tst_proxyoverload.cpp
@@ -1,8 +1,8 @@
 // Tests queueing, refusal and distribution of statements under load.
 
 #include "corefixture.h"
-#include "proxy/concurrencywindow.h"
-#include "proxy/workestimate.h"
+#include "proxy/admission/concurrencywindow.h"
+#include "proxy/admission/workestimate.h"
 
 #include <catch2/catch.hpp>
 
