Move the connections to a member out of the proxy core

Cause: ProxyCore counted the connections to each member in fields of Member that six of its files changed, and decided there which ones are opened, replaced and closed. Change: MemberPool in src/libs/proxy/connections keeps the connections of one member in any state, their counts by customer, the idle ones, back-off and refusals, and decides on openings, replacements and surplus. ProxyCore reports events to it. Events of a connection that is not in the pool are ignored. Decisions, constants and log texts are the same.

--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -4,17 +4,14 @@
 #include "core/timetypes.h"
 #include "decision/capacity/membercapacity.h"
 #include "proxy/admission/concurrencywindow.h"
-#include "proxy/connections/connectionplan.h"
+#include "proxy/connections/memberpool.h"
 #include "proxy/memberentry.h"
-#include "proxy/session.h"
 #include "proxy/slownesswatch.h"
 
 #include <algorithm>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace papayaspindle::proxy {
 
@@ -30,27 +27,13 @@
   /** Directory revision at which the member was first listed as primary; 0 for a replica.
    */
   std::uint64_t mPrimarySince = 0;
-  /** Idle connections, least recently used first. */
-  std::vector<ConnectionKey> mIdleConnections;
-  /** Number of connections in any state. */
-  std::uint32_t mConnectionCount = 0;
-  std::uint32_t mOpeningCount = 0;
-  /** Number of connections at which the member refused a further one, and until when the
-   * instance opens no more. */
-  std::uint32_t mRefusedCount = 0;
-  TimePoint mRefusedUntil;
-  /** Connections in any state by customer. */
-  std::map<std::string, CustomerConnections, std::less<>> mByCustomer;
+  /** Connections to the member. */
+  MemberPool mPool;
   /** Number of statements that occupy or wait for a slot. */
   std::uint32_t mInFlight = 0;
   /** Limits mInFlight together with mCapacity. */
   ConcurrencyWindow mWindow;
   MemberCapacity mCapacity;
-  /** Earliest time at which the next connection may be opened. */
-  TimePoint mOpenAfter;
-  Duration mOpenBackoff{};
-  /** Earliest time at which a connection beyond the base share may be opened. */
-  TimePoint mBorrowAfter;
   /** Since when the member has been unreachable: no connection works and none can be
    * opened. */
   std::optional<TimePoint> mUnreachableSince;
--- a/src/libs/proxy/poolconnection.h
+++ b/src/libs/proxy/poolconnection.h
@@ -39,9 +39,6 @@
 struct PoolConnection
 {
   std::string mMember;
-  /** Customer in whose name the connection was opened; empty for a connection that runs
-   * statements of the proxy itself or of deployments without customers. */
-  std::string mCustomer;
   ConnectionState mState = ConnectionState::Opening;
   /** Session values that are set on the connection. */
   std::map<std::string, AppliedValue, std::less<>> mValues;
@@ -54,7 +51,6 @@
   /** Whether the member's host has accepted the connection. */
   bool mIsAccepted = false;
   TimePoint mOpenedAt;
-  TimePoint mLastUsed;
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -302,10 +302,6 @@
   void ScheduleOperation(OperationKey aKey, TimePoint aAt);
 
   // proxycore_admission.cpp
-  /** @return whether a further connection would allow a further statement to be sent.
-   * Connections beyond the concurrency window are of no use, and their handshake
-   * occupies a slot for longer than most statements do. */
-  [[nodiscard]] static bool NeedsConnection(const Member& aMember);
   std::vector<Member*> ReadCandidates(const Operation& aOperation,
                                       const Group& aGroup,
                                       TimePoint aNow);
@@ -373,10 +369,9 @@
   void AbandonConnection(ConnectionKey aKey, std::string_view aReason, TimePoint aNow);
 
   // proxycore_connections.cpp
-  /** @return number of connections to a member that this instance is entitled to */
-  [[nodiscard]] std::uint32_t BaseShare(const Group& aGroup) const;
-  /** @return number of connections to a member that are kept open while unused */
-  [[nodiscard]] std::uint32_t RetainedShare(const Group& aGroup) const;
+  /** @return part of the connections to a member of the group that this instance may use
+   */
+  [[nodiscard]] PoolShare ShareOf(const Group& aGroup) const;
   bool MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const;
   void OpenConnection(Member& aMember, std::string_view aCustomer, TimePoint aNow);
   /** @return whether the connections of the configuration's groups bear the names of
@@ -414,14 +409,6 @@
    * opened */
   [[nodiscard]] std::uint32_t OpeningCount(const Group& aGroup,
                                            std::string_view aCustomer) const;
-  /** @return idle connection to the member that is closed to make room for one of another
-   * customer; none of aExcluded */
-  [[nodiscard]] std::optional<ConnectionKey> ChooseReplacedConnection(
-    const Member& aMember,
-    const std::set<std::string_view>& aExcluded,
-    TimePoint aNow) const;
-  /** @return whether the customer has an idle connection to the member */
-  [[nodiscard]] bool HasIdle(const Member& aMember, std::string_view aCustomer) const;
   /** Takes an idle connection of the customer, if there is one. */
   std::optional<ConnectionKey> TakeIdle(Member& aMember,
                                         std::string_view aCustomer,
--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -101,7 +101,7 @@
       fixed += kPrimaryReadCost;
     }
     Duration cost = member.mServiceTime * (member.mInFlight + 1) / member.Limit() + fixed;
-    if (HasCustomers() && !HasIdle(member, aOperation.mCustomer)) {
+    if (HasCustomers() && !member.mPool.HasIdle(aOperation.mCustomer)) {
       cost += kOpeningCost;
     }
     const auto runs =
@@ -126,13 +126,6 @@
   return candidates;
 }
 
-bool
-ProxyCore::NeedsConnection(const Member& aMember)
-{
-  return aMember.mIdleConnections.empty() &&
-         aMember.mInFlight + aMember.mOpeningCount < aMember.Limit();
-}
-
 void
 ProxyCore::OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow)
 {
--- a/src/libs/proxy/proxycore_connections.cpp
+++ b/src/libs/proxy/proxycore_connections.cpp
@@ -12,51 +12,20 @@
 // transaction.
 constexpr std::size_t kMaxPreparedStatements = 200;
 
-// After a refusal, idle connections of other customers are replaced instead of opening
-// more. Members count the connections of lost instances for some seconds.
-constexpr Duration kRefusalMemory = std::chrono::milliseconds(500);
-// Time until a replaced connection is closed at the member.
-constexpr Duration kReplacementPause = std::chrono::milliseconds(20);
-// Part of the share that stays open while unused where connections bear the names of
-// customers: more than elsewhere, because few of them fit the next statement.
-constexpr std::uint32_t kRetainedWithCustomers = 2;
-constexpr std::uint32_t kRetainedDivisor = 3;
-
 } // namespace
 
-std::uint32_t
-ProxyCore::BaseShare(const Group& aGroup) const
+PoolShare
+ProxyCore::ShareOf(const Group& aGroup) const
 {
   const std::uint32_t homes = std::max(mHooks.mHomeCount(aGroup.mLimits.mName), 1U);
-  return std::max(aGroup.mLimits.mMaxConnections / homes, 1U);
-}
-
-std::uint32_t
-ProxyCore::RetainedShare(const Group& aGroup) const
-{
-  const std::uint32_t share = BaseShare(aGroup);
-  const std::uint32_t retained = HasCustomers()
-                                   ? share * kRetainedWithCustomers / kRetainedDivisor
-                                   : share / kRetainedShareDivisor;
-  return std::max(retained, 1U);
+  const std::uint32_t connections = aGroup.mLimits.mMaxConnections;
+  return { std::max(connections / homes, 1U), connections, HasCustomers() };
 }
 
 bool
 ProxyCore::MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const
 {
-  if (!IsUsable(aMember) || aMember.mOpeningCount >= 2) {
-    return false;
-  }
-  const std::uint32_t base = BaseShare(aGroup);
-  if (aMember.mConnectionCount < base) {
-    return aNow >= aMember.mOpenAfter;
-  }
-  // An instance may borrow connections that other instances leave unused; the member
-  // refuses connections beyond its limit. Where connections bear the names of customers,
-  // idle ones are replaced instead.
-  return !HasCustomers() && aNow >= aMember.mBorrowAfter && aNow >= aMember.mOpenAfter &&
-         aMember.mConnectionCount <
-           std::min(base * kMaxBorrowFactor + 1, aGroup.mLimits.mMaxConnections);
+  return IsUsable(aMember) && aMember.mPool.MayOpen(ShareOf(aGroup), aNow);
 }
 
 void
@@ -65,15 +34,9 @@
   const ConnectionKey key = mNextConnection++;
   PoolConnection connection;
   connection.mMember = aMember.mEntry.mId;
-  connection.mCustomer = aCustomer;
-  CustomerConnections& own = aMember.mByCustomer[connection.mCustomer];
-  own.mOpen++;
-  own.mOpening++;
   connection.mOpenedAt = aNow;
-  connection.mLastUsed = aNow;
   mConnections.emplace(key, std::move(connection));
-  aMember.mConnectionCount++;
-  aMember.mOpeningCount++;
+  aMember.mPool.OnOpening(key, aCustomer);
   mHooks.mCount("connection_opened");
   mHooks.mOpen(key, aMember.mEntry, aCustomer);
 }
@@ -97,11 +60,8 @@
     return;
   }
   Member& member = mMembers.find(found->second.mMember)->second;
-  member.mOpeningCount--;
-  member.mByCustomer[found->second.mCustomer].mOpening--;
-  // DiscardConnection lowers the counts of openings again while the state is Opening.
+  member.mPool.OnReady(aConnection);
   found->second.mState = ConnectionState::Internal;
-  member.mOpenBackoff = {};
   member.mLastReply = aNow;
   if (member.mUnreachableSince) {
     mHooks.mLog(LogLevel::Info, "member_reachable", { { "member", member.mEntry.mId } });
@@ -126,24 +86,15 @@
   mHooks.mLog(LogLevel::Info,
               "connection_refused",
               { { "member", member.mEntry.mId },
-                { "connections", std::to_string(member.mConnectionCount) },
+                { "connections", std::to_string(member.mPool.Count()) },
                 { "code", std::to_string(static_cast<int>(aCode)) } });
   member.mLastReply = aNow;
   member.mUnreachableSince.reset();
   if (aCode == AnswerCode::Misrouted) {
     member.mIsMisrouted = true;
   }
-  const Group* group = FindGroup(member.mEntry.mGroup);
-  if (group != nullptr && member.mConnectionCount > BaseShare(*group)) {
-    member.mBorrowAfter = aNow + kBorrowPause;
-  } else {
-    // The instance is entitled to this connection: the instance that borrowed the
-    // connection returns it soon.
-    member.mOpenAfter = aNow + (HasCustomers() ? kReplacementPause : kOpenBackoffMin);
-  }
+  member.mPool.OnRefused(aConnection, ShareOf(mGroups[member.mEntry.mGroup]), aNow);
   DiscardConnection(aConnection);
-  member.mRefusedCount = member.mConnectionCount;
-  member.mRefusedUntil = aNow + kRefusalMemory;
 }
 
 void
@@ -156,9 +107,7 @@
   PoolConnection& connection = found->second;
   Member& member = mMembers.find(connection.mMember)->second;
   if (connection.mState == ConnectionState::Opening) {
-    member.mOpenBackoff =
-      std::clamp(member.mOpenBackoff * 2, kOpenBackoffMin, kOpenBackoffMax / 2);
-    member.mOpenAfter = aNow + member.mOpenBackoff;
+    member.mPool.OnOpeningFailed(aNow);
     if (!member.mUnreachableSince && member.mLastReply < connection.mOpenedAt) {
       member.mUnreachableSince = aNow;
       mHooks.mLog(LogLevel::Warning,
@@ -181,7 +130,7 @@
   // A lost connection may be the first sign of a failed member; opening a new one shows
   // whether the member is reachable.
   const Group* group = FindGroup(member.mEntry.mGroup);
-  if (!wasOpening && group != nullptr && member.mOpeningCount == 0 &&
+  if (!wasOpening && group != nullptr && member.mPool.OpeningCount() == 0 &&
       MayOpen(member, *group, aNow)) {
     OpenConnection(member, {}, aNow);
   }
@@ -196,7 +145,6 @@
   for (const MemberCommand& command : aCommands) {
     aConnection.mOutstanding.push_back({ command.mKind, aNow });
   }
-  aConnection.mLastUsed = aNow;
   mHooks.mSend(aKey, aCommands);
 }
 
@@ -230,16 +178,7 @@
   if (found == mConnections.end()) {
     return;
   }
-  const PoolConnection& connection = found->second;
-  Member& member = mMembers.find(connection.mMember)->second;
-  member.mConnectionCount--;
-  const auto own = member.mByCustomer.find(connection.mCustomer);
-  own->second.mOpen--;
-  if (connection.mState == ConnectionState::Opening) {
-    member.mOpeningCount--;
-    own->second.mOpening--;
-  }
-  std::erase(member.mIdleConnections, aKey);
+  mMembers.find(found->second.mMember)->second.mPool.Remove(aKey);
   mConnections.erase(found);
   for (std::size_t index = 0; index < mStatusQueries.size(); index++) {
     if (mStatusQueries[index].mConnection == aKey) {
@@ -267,8 +206,7 @@
   aConnection.mState = ConnectionState::Idle;
   aConnection.mOperation.reset();
   aConnection.mTransactionSession.reset();
-  aConnection.mLastUsed = aNow;
-  member.mIdleConnections.push_back(aKey);
+  member.mPool.OnIdle(aKey, aNow);
   RunStatusQueries(aNow);
   DispatchWaiting(mGroups[member.mEntry.mGroup], aNow);
 }
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -60,7 +60,7 @@
     }
     // The cost of a candidate includes an opening, so a cheaper one than those that have
     // idle connections is worth it.
-    if (HasCustomers() && !HasIdle(*member, aOperation.mCustomer) &&
+    if (HasCustomers() && !member->mPool.HasIdle(aOperation.mCustomer) &&
         OpenForOperation(aOperation, *member, aGroup, aNow) == OpeningResult::Opening) {
       return false;
     }
@@ -98,7 +98,7 @@
   if (StartOnIdleConnection(aKey, aOperation, primary, std::nullopt, aNow)) {
     return true;
   }
-  if (!HasIdle(primary, aOperation.mCustomer)) {
+  if (!primary.mPool.HasIdle(aOperation.mCustomer)) {
     OpenForOperation(aOperation, primary, aGroup, aNow);
   }
   return false;
@@ -119,7 +119,7 @@
   if (!connection) {
     return false;
   }
-  aMember.mByCustomer[aOperation.mCustomer].mUse.Add(aNow);
+  aMember.mPool.OnUse(aOperation.mCustomer, aNow);
   aMember.mInFlight++;
   aOperation.mIsInFlight = true;
   StartOnConnection(aKey, aOperation, *connection, aAfter, aNow);
--- a/src/libs/proxy/proxycore_explain.cpp
+++ b/src/libs/proxy/proxycore_explain.cpp
@@ -94,13 +94,8 @@
     const auto found = std::find(order.begin(), order.end(), &member);
     state.mRank =
       found == order.end() ? 0 : static_cast<std::size_t>(found - order.begin()) + 1;
-    state.mConnections = member.mConnectionCount;
-    state.mIdle = static_cast<std::uint32_t>(
-      std::count_if(member.mIdleConnections.begin(),
-                    member.mIdleConnections.end(),
-                    [&](ConnectionKey aKey) {
-                      return mConnections.at(aKey).mCustomer == operation.mCustomer;
-                    }));
+    state.mConnections = member.mPool.Count();
+    state.mIdle = member.mPool.IdleCount(operation.mCustomer);
     state.mInFlight = member.mInFlight;
     state.mWindow = member.Limit();
     state.mServiceTime = member.mServiceTime;
--- a/src/libs/proxy/proxycore_maintenance.cpp
+++ b/src/libs/proxy/proxycore_maintenance.cpp
@@ -15,21 +15,14 @@
     const bool isServedHere = IsUsable(member) && group != nullptr &&
                               !group->mLimits.mName.empty() &&
                               mHooks.mIsHome(group->mLimits.mName);
-    std::uint32_t connections = member.mConnectionCount;
-    for (const ConnectionKey key : member.mIdleConnections) {
-      const Duration unused = aNow - mConnections.at(key).mLastUsed;
-      const bool isOld = unused > kDrainingIdleTimeout;
-      const bool isSurplus = isServedHere && connections > RetainedShare(*group) &&
-                             unused > kSurplusIdleTimeout;
-      const bool isLeaving = isServedHere && member.mEntry.mDraining && isOld;
-      if (!isServedHere || isSurplus || isLeaving) {
-        surplus.push_back(key);
-        connections--;
-      }
-    }
+    const std::vector<ConnectionKey> closing =
+      member.mPool.Surplus(isServedHere ? std::optional(ShareOf(*group)) : std::nullopt,
+                           member.mEntry.mDraining,
+                           aNow);
+    surplus.insert(surplus.end(), closing.begin(), closing.end());
     // Keeping one connection open saves the next statement a handshake and detects an
     // unreachable member.
-    if (isServedHere && !member.mEntry.mDraining && member.mConnectionCount == 0 &&
+    if (isServedHere && !member.mEntry.mDraining && member.mPool.Count() == 0 &&
         MayOpen(member, *group, aNow) && !mDrainStart) {
       OpenConnection(member, {}, aNow);
     }
@@ -39,7 +32,7 @@
   }
   std::erase_if(mMembers, [&](auto& aEntry) {
     const bool isRemovable = !aEntry.second.mIsListed &&
-                             aEntry.second.mConnectionCount == 0 &&
+                             aEntry.second.mPool.Count() == 0 &&
                              !IsRetained(aEntry.second, aNow);
     if (isRemovable) {
       std::erase(mGroups[aEntry.second.mEntry.mGroup].mMembers, aEntry.first);
@@ -71,7 +64,7 @@
       !isMemberUnresponsive &&
       waited > std::max(kLostAnswerTimeout, member.mServiceTime * kLostAnswerFactor);
     if (isMemberUnresponsive && waited > kUnresponsiveAfter &&
-        member.mOpeningCount == 0) {
+        member.mPool.OpeningCount() == 0) {
       const Group* group = FindGroup(member.mEntry.mGroup);
       if (group != nullptr && MayOpen(member, *group, aNow)) {
         OpenConnection(member, {}, aNow);
@@ -127,11 +120,9 @@
     if (!IsUsable(member) || member.mEntry.mDraining) {
       continue;
     }
-    if (!member.mUnreachableSince && !member.mIdleConnections.empty()) {
-      const ConnectionKey key = member.mIdleConnections.back();
-      member.mIdleConnections.pop_back();
-      RequestSample(member, key, aNow);
-    } else if (member.mOpeningCount == 0 && MayOpen(member, aGroup, aNow)) {
+    if (!member.mUnreachableSince && member.mPool.HasIdle()) {
+      RequestSample(member, *member.mPool.TakeIdle(), aNow);
+    } else if (member.mPool.OpeningCount() == 0 && MayOpen(member, aGroup, aNow)) {
       OpenConnection(member, {}, aNow);
     }
   }
@@ -156,10 +147,8 @@
       continue;
     }
     Member& primary = mMembers.find(known->mEntry.mId)->second;
-    if (!primary.mIdleConnections.empty()) {
-      const ConnectionKey key = primary.mIdleConnections.back();
-      primary.mIdleConnections.pop_back();
-      RequestSample(primary, key, aNow);
+    if (const auto key = primary.mPool.TakeIdle()) {
+      RequestSample(primary, *key, aNow);
     }
   }
 }
@@ -193,16 +182,14 @@
     Member* member = FindMember(query.mMember);
     if (!query.mConnection && member != nullptr) {
       const Group* group = FindGroup(member->mEntry.mGroup);
-      if (!member->mIdleConnections.empty()) {
-        const ConnectionKey key = member->mIdleConnections.back();
-        member->mIdleConnections.pop_back();
+      if (const auto key = member->mPool.TakeIdle()) {
         query.mConnection = key;
-        PoolConnection& connection = mConnections.at(key);
+        PoolConnection& connection = mConnections.at(*key);
         connection.mState = ConnectionState::Internal;
-        SendCommands(key, connection, { &query.mCommand, 1 }, aNow);
-      } else if (member->mOpeningCount == 0 && group != nullptr &&
+        SendCommands(*key, connection, { &query.mCommand, 1 }, aNow);
+      } else if (member->mPool.OpeningCount() == 0 && group != nullptr &&
                  (MayOpen(*member, *group, aNow) ||
-                  (IsRetained(*member, aNow) && aNow >= member->mOpenAfter))) {
+                  (IsRetained(*member, aNow) && !member->mPool.IsPaused(aNow)))) {
         OpenConnection(*member, {}, aNow);
       }
     }
--- a/src/libs/proxy/proxycore_members.cpp
+++ b/src/libs/proxy/proxycore_members.cpp
@@ -44,8 +44,7 @@
       member.mIsMisrouted = false;
     }
     if (isRestarted || isMoved) {
-      member.mOpenAfter = aNow;
-      member.mOpenBackoff = {};
+      member.mPool.ResetBackoff(aNow);
       member.mLaggingUntil = {};
       member.mPosition.reset();
     }
