--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/admission/workestimates.h"
 #include "proxy/explanation.h"
 #include "proxy/group.h"
 #include "proxy/leadership/primaryhealth.h"
@@ -9,9 +10,7 @@
 #include "proxy/proxyhooks.h"
 #include "proxy/proxysettings.h"
 #include "proxy/session.h"
-#include "proxy/workestimate.h"
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -153,9 +152,6 @@
   [[nodiscard]] Explanation Explain(const StatementInquiry& aInquiry, TimePoint aNow);
 
 private:
-  /** Two kinds (reads and writes, commits) for each of the three consistencies. */
-  static constexpr std::size_t kWorkKinds = 6;
-
   struct StatusQuery
   {
     std::string mMember;
@@ -306,10 +302,6 @@
   void ScheduleOperation(OperationKey aKey, TimePoint aAt);
 
   // proxycore_admission.cpp
-  /** @return whether a further connection would allow a further statement to be sent.
-   * Connections beyond the concurrency window are of no use, and their handshake
-   * occupies a slot for longer than most statements do. */
-  [[nodiscard]] static bool NeedsConnection(const Member& aMember);
   std::vector<Member*> ReadCandidates(const Operation& aOperation,
                                       const Group& aGroup,
                                       TimePoint aNow);
@@ -324,12 +316,6 @@
   /** Refuses a new operation whose predicted wait exceeds the latency objective. */
   void RefuseIfOverloaded(OperationKey aKey, Group& aGroup, TimePoint aNow);
   void OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow);
-  /** @return number of waiting operations that compete for the same members and are
-   * dispatched earlier */
-  [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
-                                         const Group& aGroup) const;
-  /** @return index in mWorkEstimates for the operation's kind of work */
-  [[nodiscard]] static std::size_t WorkEstimateIndex(const Operation& aOperation);
   [[nodiscard]] std::optional<LogPosition> RequiredPosition(const Operation& aOperation,
                                                             const Group& aGroup,
                                                             TimePoint aNow,
@@ -383,10 +369,9 @@
   void AbandonConnection(ConnectionKey aKey, std::string_view aReason, TimePoint aNow);
 
   // proxycore_connections.cpp
-  /** @return number of connections to a member that this instance is entitled to */
-  [[nodiscard]] std::uint32_t BaseShare(const Group& aGroup) const;
-  /** @return number of connections to a member that are kept open while unused */
-  [[nodiscard]] std::uint32_t RetainedShare(const Group& aGroup) const;
+  /** @return part of the connections to a member of the group that this instance may use
+   */
+  [[nodiscard]] PoolShare ShareOf(const Group& aGroup) const;
   bool MayOpen(const Member& aMember, const Group& aGroup, TimePoint aNow) const;
   void OpenConnection(Member& aMember, std::string_view aCustomer, TimePoint aNow);
   /** @return whether the connections of the configuration's groups bear the names of
@@ -424,14 +409,6 @@
    * opened */
   [[nodiscard]] std::uint32_t OpeningCount(const Group& aGroup,
                                            std::string_view aCustomer) const;
-  /** @return idle connection to the member that is closed to make room for one of another
-   * customer; none of aExcluded */
-  [[nodiscard]] std::optional<ConnectionKey> ChooseReplacedConnection(
-    const Member& aMember,
-    const std::set<std::string_view>& aExcluded,
-    TimePoint aNow) const;
-  /** @return whether the customer has an idle connection to the member */
-  [[nodiscard]] bool HasIdle(const Member& aMember, std::string_view aCustomer) const;
   /** Takes an idle connection of the customer, if there is one. */
   std::optional<ConnectionKey> TakeIdle(Member& aMember,
                                         std::string_view aCustomer,
@@ -493,8 +470,7 @@
   std::size_t mPreparedNameBytes = 0;
   /** Number of names given so far; a name never gets a second meaning. */
   std::uint64_t mPreparedNameCount = 0;
-  /** Estimates by consistency, first those of reads and writes, then of commits. */
-  std::array<WorkEstimate, kWorkKinds> mWorkEstimates;
+  WorkEstimates mWorkEstimates;
   OperationKey mNextOperation = 1;
   ConnectionKey mNextConnection = 1;
   TimePoint mNextMaintenance;
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -2,9 +2,7 @@
 
 #include "proxy/proxytimes.h"
 
-#include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -13,28 +11,13 @@
 void
 ProxyCore::DispatchWaiting(Group& aGroup, TimePoint aNow)
 {
-  if (aGroup.mWaiting.empty()) {
+  if (aGroup.mWaiting.IsEmpty()) {
     return;
   }
   // An operation that finds no connection blocks later ones of the same kind only.
   // Where connections bear the names of customers, it blocks those of its customer only.
   std::set<std::pair<std::string_view, bool>> blocked;
-  std::vector<OperationKey> waiting = aGroup.mWaiting;
-  // Operations that can still meet their objective go first, then by priority, then by
-  // usual time (more callers are answered in time if short ones go first), then by
-  // arrival.
-  std::stable_sort(
-    waiting.begin(), waiting.end(), [&](OperationKey aLeft, OperationKey aRight) {
-      const Operation& left = mOperations.at(aLeft);
-      const Operation& right = mOperations.at(aRight);
-      return std::tuple(left.mIsPastObjective,
-                        left.mRoute.mPriority,
-                        mWorkEstimates[WorkEstimateIndex(left)].LowerQuartile()) <
-             std::tuple(right.mIsPastObjective,
-                        right.mRoute.mPriority,
-                        mWorkEstimates[WorkEstimateIndex(right)].LowerQuartile());
-    });
-  for (const OperationKey key : waiting) {
+  for (const OperationKey key : aGroup.mWaiting.DispatchOrder(mWorkEstimates)) {
     const auto found = mOperations.find(key);
     if (found == mOperations.end()) {
       continue;
@@ -46,7 +29,7 @@
       continue;
     }
     if (TryStartOperation(key, operation, aGroup, aNow)) {
-      std::erase(aGroup.mWaiting, key);
+      aGroup.mWaiting.Remove(key);
     } else if (operation.mRefusingMembers.empty()) {
       blocked.emplace(operation.mCustomer, needsPrimary);
     }
@@ -77,7 +60,7 @@
     }
     // The cost of a candidate includes an opening, so a cheaper one than those that have
     // idle connections is worth it.
-    if (HasCustomers() && !HasIdle(*member, aOperation.mCustomer) &&
+    if (HasCustomers() && !member->mPool.HasIdle(aOperation.mCustomer) &&
         OpenForOperation(aOperation, *member, aGroup, aNow) == OpeningResult::Opening) {
       return false;
     }
@@ -115,7 +98,7 @@
   if (StartOnIdleConnection(aKey, aOperation, primary, std::nullopt, aNow)) {
     return true;
   }
-  if (!HasIdle(primary, aOperation.mCustomer)) {
+  if (!primary.mPool.HasIdle(aOperation.mCustomer)) {
     OpenForOperation(aOperation, primary, aGroup, aNow);
   }
   return false;
@@ -136,7 +119,7 @@
   if (!connection) {
     return false;
   }
-  aMember.mByCustomer[aOperation.mCustomer].mUse.Add(aNow);
+  aMember.mPool.OnUse(aOperation.mCustomer, aNow);
   aMember.mInFlight++;
   aOperation.mIsInFlight = true;
   StartOnConnection(aKey, aOperation, *connection, aAfter, aNow);
