--- /dev/null
+++ b/tests/auto/proxy/tst_admissionorder.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
