--- a/src/libs/proxy/admission/admissioninput.h
+++ b/src/libs/proxy/admission/admissioninput.h
@@ -21,6 +21,8 @@
   bool mNeedsPrimary = false;
   /** Whether the statement has arrived just now and can be refused before it waits. */
   bool mIsNew = false;
+  /** Whether PlannedStatement::mMissesObjective was set by an earlier plan. */
+  bool mMissesObjective = false;
   TimePoint mArrivedAt;
   /** Latest start at which the statement meets its latency objective. */
   TimePoint mObjectiveLimit;
--- a/src/libs/proxy/admission/admissionorder.cpp
+++ b/src/libs/proxy/admission/admissionorder.cpp
@@ -21,7 +21,7 @@
 bool
 IsPastObjective(const WaitingStatement& aStatement, TimePoint aNow)
 {
-  return aNow >= aStatement.mObjectiveLimit;
+  return aStatement.mMissesObjective || aNow >= aStatement.mObjectiveLimit;
 }
 
 /** @return indices of the waiting statements, ordered without regard to customers */
@@ -77,16 +77,18 @@
   {
     const WaitingStatement& statement = *aRanked.mStatement;
     std::size_t& ahead = mAhead[statement.mNeedsPrimary ? 1 : 0];
-    PlannedStatement planned{ statement.mKey, ahead, ReasonFor(aRanked, ahead) };
-    // The first statement of a customer without a running one is kept, and it counts as
-    // the kept one also where it would be served in time.
-    if (mIsKept[statement.mCustomer]) {
-      mIsKept[statement.mCustomer] = false;
-      if (planned.mRefusal && CanBeKept(statement)) {
-        planned.mRefusal.reset();
-      }
+    const bool isPast = IsPastObjective(statement, mInput.mNow);
+    PlannedStatement planned{ statement.mKey, ahead, ReasonFor(aRanked, ahead), isPast };
+    // The first statement of a customer is the kept one, also if it is served in time.
+    const bool isKept = mIsKept[statement.mCustomer];
+    mIsKept[statement.mCustomer] = false;
+    if (isKept && planned.mRefusal && CanBeKept(statement)) {
+      planned.mRefusal.reset();
+      planned.mMissesObjective = true;
     }
-    ahead += planned.mRefusal ? 0 : 1;
+    // Kept statements are served after those that can meet their objectives, so that they
+    // cause no refusals.
+    ahead += planned.mRefusal || planned.mMissesObjective ? 0 : 1;
     return planned;
   }
 
@@ -157,10 +159,8 @@
   for (const WaitingStatement& statement : aInput.mWaiting) {
     (statement.mNeedsPrimary ? writes : reads)[statement.mCustomer].mWaiting++;
   }
-  const std::array turns{
-    mReadRounds.Update(reads, aInput.mRates.mReadsPerS, aInput.mNow),
-    mPrimaryRounds.Update(writes, aInput.mRates.mPrimaryPerS, aInput.mNow)
-  };
+  const std::array turns{ mReadRounds.Update(reads, aInput.mNow),
+                          mPrimaryRounds.Update(writes, aInput.mNow) };
   std::array positions{ std::vector<std::size_t>(reads.size()),
                         std::vector<std::size_t>(reads.size()) };
   std::vector<RankedStatement> ranked;
--- a/src/libs/proxy/admission/admissionplan.h
+++ b/src/libs/proxy/admission/admissionplan.h
@@ -30,6 +30,9 @@
   std::size_t mAhead = 0;
   /** Set if the statement is refused now. */
   std::optional<RefusalReason> mRefusal;
+  /** Whether the statement can no longer meet its latency objective; it is then ordered
+   * after those that can, until it is sent or refused. */
+  bool mMissesObjective = false;
 };
 
 /** Order of dispatch, the next statement first. */
--- a/src/libs/proxy/admission/customerrounds.cpp
+++ b/src/libs/proxy/admission/customerrounds.cpp
@@ -2,33 +2,23 @@
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
+#include <cmath>
 
 namespace papayaspindle::proxy {
 
 namespace {
 
-// Time that the members need for a round in which all customers use their share. Within a
-// round, statements are ordered by usual time and arrival. A shorter round orders more
-// strictly by customer and answers fewer statements in time.
-constexpr double kRoundSeconds = 0.1;
-// Small customers send two statements at once by chance; their share of a round is less
-// than one statement.
-constexpr double kMinStatementsPerRound = 2;
-// A statement that waits for a connection holds back the current round. Without a bound,
-// customers that were inactive would join far behind those that are served meanwhile.
-constexpr double kMaxLead = 2;
-constexpr Duration kRetention = std::chrono::seconds(3);
-constexpr Duration kDropInterval = std::chrono::seconds(1);
+// Ratio of a customer's quantum to the others' use for the same weight. Customers usually
+// differ by less, also in a burst.
+constexpr double kToleratedRatio = 2;
+// Small customers send some statements at once by chance.
+constexpr double kToleratedStatements = 4;
+// Time over which started statements are counted.
+constexpr std::chrono::duration<double> kMemory{ 1 };
+constexpr Duration kRetention = std::chrono::seconds(5);
 
 } // namespace
 
-std::uint64_t
-CustomerRounds::Turn::RoundOf(std::size_t aIndex) const
-{
-  return static_cast<std::uint64_t>(mStart + mStep * static_cast<double>(aIndex));
-}
-
 CustomerRounds::State&
 CustomerRounds::StateOf(std::string_view aCustomer)
 {
@@ -37,45 +27,40 @@
                                 : mStates.emplace(aCustomer, State{}).first->second;
 }
 
-std::vector<CustomerRounds::Turn>
-CustomerRounds::Update(std::span<const CustomerBacklog> aCustomers,
-                       double aPerSecond,
-                       TimePoint aNow)
+std::vector<CustomerTurn>
+CustomerRounds::Update(std::span<const CustomerBacklog> aCustomers, TimePoint aNow)
 {
+  Decay(aNow);
   double largest = 0;
   for (const CustomerBacklog& customer : aCustomers) {
     largest = std::max(largest, customer.mLoad.mWeight);
   }
   const double unlimited = largest > 0 ? largest : 1;
-  const auto weightOf = [&](const CustomerBacklog& aCustomer) {
-    return aCustomer.mLoad.mWeight > 0 ? aCustomer.mLoad.mWeight : unlimited;
-  };
-  double total = 0;
-  for (const CustomerBacklog& customer : aCustomers) {
-    total += weightOf(customer);
-  }
-  double earliest = std::numeric_limits<double>::infinity();
-  std::vector<State*> states;
+  std::vector<const State*> states;
   states.reserve(aCustomers.size());
   for (const CustomerBacklog& customer : aCustomers) {
     State& state = StateOf(customer.mLoad.mName);
-    const double share = weightOf(customer) / total * aPerSecond * kRoundSeconds;
-    state.mStep = 1 / std::max(share, kMinStatementsPerRound);
+    state.mWeight = customer.mLoad.mWeight > 0 ? customer.mLoad.mWeight : unlimited;
+    state.mWaiting = customer.mWaiting;
     state.mActiveAt = aNow;
     states.push_back(&state);
-    if (customer.mWaiting > 0) {
-      earliest = std::min(earliest, state.mNext);
-    }
   }
-  if (earliest < std::numeric_limits<double>::infinity()) {
-    mCurrent = std::max(mCurrent, earliest);
+  double totalUse = 0;
+  double totalWeight = 0;
+  for (const auto& [name, state] : mStates) {
+    totalUse += state.mUsed + static_cast<double>(state.mWaiting);
+    totalWeight += state.mWeight;
   }
-  std::vector<Turn> turns;
+  std::vector<CustomerTurn> turns;
   turns.reserve(states.size());
   for (const State* state : states) {
-    turns.push_back({ std::max(state->mNext - mCurrent, 0.0), state->mStep });
+    const double othersUse =
+      totalUse - state->mUsed - static_cast<double>(state->mWaiting);
+    const double othersWeight = totalWeight - state->mWeight;
+    const double fair = othersWeight > 0 ? othersUse * state->mWeight / othersWeight : 0;
+    turns.push_back(
+      { state->mUsed, kToleratedStatements + kToleratedRatio * std::max(fair, 0.0) });
   }
-  DropInactive(aNow);
   return turns;
 }
 
@@ -83,22 +68,23 @@
 CustomerRounds::OnStarted(std::string_view aCustomer, TimePoint aNow)
 {
   State& state = StateOf(aCustomer);
-  const double start = std::max(state.mNext, mCurrent);
-  state.mNext = start + state.mStep;
+  state.mUsed++;
+  state.mWaiting -= std::min<std::size_t>(state.mWaiting, 1);
   state.mActiveAt = aNow;
-  mCurrent = std::max(mCurrent, start - kMaxLead);
 }
 
 void
-CustomerRounds::DropInactive(TimePoint aNow)
+CustomerRounds::Decay(TimePoint aNow)
 {
-  if (aNow < mCheckedAt + kDropInterval) {
-    return;
+  const std::chrono::duration<double> passed = aNow - mDecayedAt;
+  const double factor = std::exp(-passed / kMemory);
+  mDecayedAt = aNow;
+  for (auto entry = mStates.begin(); entry != mStates.end();) {
+    State& state = entry->second;
+    state.mUsed *= factor;
+    state.mWaiting = 0;
+    entry = aNow > state.mActiveAt + kRetention ? mStates.erase(entry) : std::next(entry);
   }
-  mCheckedAt = aNow;
-  std::erase_if(mStates, [&](const auto& aEntry) {
-    return aNow > aEntry.second.mActiveAt + kRetention;
-  });
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/admission/customerrounds.h
+++ b/src/libs/proxy/admission/customerrounds.h
@@ -21,38 +21,35 @@
   std::size_t mWaiting = 0;
 };
 
+/** Position of a customer in the rounds. */
+struct CustomerTurn
+{
+  /** Recently started statements of the customer. */
+  double mUsed = 0;
+  /** Statements of the customer in each round. */
+  double mQuantum = 1;
+
+  /** @return number of full rounds before the statement at an index of the customer's
+   * waiting ones; 0 for those that its share covers */
+  [[nodiscard]] std::uint64_t RoundOf(std::size_t aIndex) const
+  {
+    return static_cast<std::uint64_t>((mUsed + static_cast<double>(aIndex)) / mQuantum);
+  }
+};
+
 /**
  * Weighted round-robin over the customers whose statements compete for the same members.
  *
- * Start-time fair queueing with rounds as the unit of virtual time: each started
- * statement advances its customer by the inverse of the number of statements that the
- * customer may start in a round. A customer that was inactive joins the current round.
+ * A customer's quantum of a round is a multiple of what the other customers use for the
+ * same weight. Therefore a burst that all customers share moves no statement to a later
+ * round, and a customer that sends many times its usual load waits behind the others.
  */
 class CustomerRounds
 {
 public:
-  /** Position of a customer's next statement. */
-  struct Turn
-  {
-    /** Rounds from the current round to the next statement; fractional. */
-    double mStart = 0;
-    /** Rounds between consecutive statements of the customer. */
-    double mStep = 0;
-
-    /** @return number of full rounds before the statement at an index of the customer's
-     * waiting ones; 0 for those that its share covers now */
-    [[nodiscard]] std::uint64_t RoundOf(std::size_t aIndex) const;
-  };
-
-  /**
-   * Updates the shares and the current round.
-   *
-   * @param aPerSecond number of statements per second that the members complete
-   * @return turns in the order of aCustomers
-   */
-  std::vector<Turn> Update(std::span<const CustomerBacklog> aCustomers,
-                           double aPerSecond,
-                           TimePoint aNow);
+  /** @return turns in the order of aCustomers */
+  std::vector<CustomerTurn> Update(std::span<const CustomerBacklog> aCustomers,
+                                   TimePoint aNow);
   /** Charges the customer for a statement that was sent to a member. */
   void OnStarted(std::string_view aCustomer, TimePoint aNow);
 
@@ -62,19 +59,18 @@
 private:
   struct State
   {
-    /** Virtual time of the customer's next statement. */
-    double mNext = 0;
-    double mStep = 1;
+    /** Number of started statements; decays exponentially. */
+    double mUsed = 0;
+    double mWeight = 0;
+    std::size_t mWaiting = 0;
     TimePoint mActiveAt;
   };
 
   State& StateOf(std::string_view aCustomer);
-  void DropInactive(TimePoint aNow);
+  void Decay(TimePoint aNow);
 
   std::map<std::string, State, std::less<>> mStates;
-  /** Virtual time: the start of the current round. */
-  double mCurrent = 0;
-  TimePoint mCheckedAt;
+  TimePoint mDecayedAt;
 };
 
 } // namespace papayaspindle::proxy
