--- a/src/libs/proxy/admission/admissioninput.h
+++ b/src/libs/proxy/admission/admissioninput.h
@@ -53,7 +53,7 @@
 /** State of one group at one home. */
 struct AdmissionInput
 {
-  /** In the order of arrival. */
+  /** Statements that arrived at the same time keep their order. */
   std::span<const WaitingStatement> mWaiting;
   /** All customers with waiting or running statements, each once. */
   std::span<const CustomerLoad> mCustomers;
--- a/src/libs/proxy/admission/admissionorder.cpp
+++ b/src/libs/proxy/admission/admissionorder.cpp
@@ -35,6 +35,7 @@
     return std::tuple(IsPastObjective(statement, aInput.mNow),
                       statement.mPriority,
                       statement.mUsualTime,
+                      statement.mArrivedAt,
                       aIndex);
   };
   std::sort(order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
