--- a/tests/auto/proxy/tst_admissionload.cpp
+++ b/tests/auto/proxy/tst_admissionload.cpp
@@ -135,7 +135,8 @@
         aLoad.Add(2s, 10s, usual * extra, flooding);
       });
     for (const auto& [from, to] : { std::pair(kCustomers * 9 / 10, kCustomers),
-                                    std::pair(kMedian, kMedian + 1) }) {
+                                    std::pair(kMedian, kMedian + 1),
+                                    std::pair(kMedian - 4, kMedian + 4) }) {
       const CustomerResult urgency = Comparison::Sum(result.mUrgency, from, to);
       CHECK(urgency.mLate + urgency.mRefused > 0);
       CHECK(Comparison::Sum(result.mByCustomer, from, to).PercentBad() <=
