Dispatch and refuse waiting operations by customer

Cause: a customer that sends many times its usual load displaced the statements of all others at a home. Change: where the configuration has customers, ProxyCore takes the order and the refusals from AdmissionOrder; without customers both stay as they are. No figures of complete instances were measured.

--- a/src/libs/proxy/group.h
+++ b/src/libs/proxy/group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/admission/admissionorder.h"
 #include "proxy/positionsamples.h"
 #include "proxy/proxyconfiguration.h"
 #include "proxy/session.h"
@@ -22,6 +23,10 @@
   PositionSamples mSamples{ kSampleRetention };
   /** Operations that wait for a connection, in the order of their arrival. */
   std::vector<OperationKey> mWaiting;
+  /** Order of mWaiting where connections bear the names of customers. */
+  AdmissionOrder mAdmission;
+  /** Plan of the latest dispatch by mAdmission. */
+  AdmissionPlan mPlan;
   /** When the last read with a staleness limit arrived. */
   TimePoint mLastBoundedRead;
   /** Member that was last proven to be the leader. */
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "proxy/admission/admissioninput.h"
+#include "proxy/admission/admissionplan.h"
 #include "proxy/explanation.h"
 #include "proxy/group.h"
 #include "proxy/leadership/primaryhealth.h"
@@ -250,6 +252,9 @@
   [[nodiscard]] bool NeedsToken(const Operation& aOperation) const;
 
   // proxycore_forwarding.cpp
+  /** @return number of homes of the group that the customer uses */
+  [[nodiscard]] std::uint32_t HomesOf(const std::string& aCustomer,
+                                      const std::string& aGroup) const;
   /** @return the home that runs the operation, possibly this instance, or nothing when
    * none is left */
   [[nodiscard]] std::optional<std::string> PickHome(
@@ -327,7 +332,8 @@
   /** @return number of waiting operations that compete for the same members and are
    * dispatched earlier */
   [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
-                                         const Group& aGroup) const;
+                                         const Group& aGroup,
+                                         TimePoint aNow);
   /** @return index in mWorkEstimates for the operation's kind of work */
   [[nodiscard]] static std::size_t WorkEstimateIndex(const Operation& aOperation);
   [[nodiscard]] std::optional<LogPosition> RequiredPosition(const Operation& aOperation,
@@ -335,6 +341,30 @@
                                                             TimePoint aNow,
                                                             bool& aIsProven) const;
 
+  // proxycore_customeradmission.cpp
+  /** @param aNew operation that has arrived just now, which need not be queued yet */
+  AdmissionPlan PlanByCustomer(Group& aGroup, const Operation* aNew, TimePoint aNow);
+  /** @return waiting operations of the group in the order of dispatch */
+  std::vector<OperationKey> OrderByCustomer(Group& aGroup, TimePoint aNow);
+  /** @return number of waiting operations that are dispatched before aOperation, by
+   * customer */
+  std::size_t AheadByCustomer(const Operation& aOperation, TimePoint aNow);
+  /** Refuses a new operation that can't be served in time, marks the waiting ones that
+   * miss their objectives, and schedules the refusal of those that exceed their
+   * customers' shares. */
+  void RefuseByCustomer(OperationKey aKey, Group& aGroup, TimePoint aNow);
+  /** @return whether the waiting operation was refused */
+  bool RefuseWaitingByCustomer(OperationKey aKey, Group& aGroup, TimePoint aNow);
+  [[nodiscard]] CompletionRates RatesOf(const Group& aGroup, TimePoint aNow) const;
+  /** @return weight of the customer at one of its homes of the group; 0 for a customer
+   * without a limit */
+  [[nodiscard]] double WeightOf(const std::string& aCustomer, const Group& aGroup) const;
+  /** @return whether only the primary can run the operation at the moment */
+  [[nodiscard]] static bool NeedsPrimaryNow(const Operation& aOperation)
+  {
+    return aOperation.mNeedsPrimary || aOperation.mNeedsLeadershipProof;
+  }
+
   // proxycore_explain.cpp
   void ExplainMembers(const Operation& aOperation,
                       Explanation& aExplanation,
--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -30,8 +30,11 @@
 }
 
 std::size_t
-ProxyCore::WaitingAhead(const Operation& aOperation, const Group& aGroup) const
+ProxyCore::WaitingAhead(const Operation& aOperation, const Group& aGroup, TimePoint aNow)
 {
+  if (HasCustomers()) {
+    return AheadByCustomer(aOperation, aNow);
+  }
   const auto urgency = [&](const Operation& aOther) {
     return std::pair(aOther.mRoute.mPriority,
                      mWorkEstimates[WorkEstimateIndex(aOther)].LowerQuartile());
@@ -68,7 +71,7 @@
   if (perSecond <= 0) {
     return std::nullopt;
   }
-  const double ahead = static_cast<double>(WaitingAhead(aOperation, aGroup)) + 1;
+  const double ahead = static_cast<double>(WaitingAhead(aOperation, aGroup, aNow)) + 1;
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(ahead / perSecond));
 }
@@ -80,6 +83,10 @@
   if (found == mOperations.end() || found->second.mStage != OperationStage::Waiting) {
     return;
   }
+  if (HasCustomers()) {
+    RefuseByCustomer(aKey, aGroup, aNow);
+    return;
+  }
   const auto wait = PredictedWait(found->second, aGroup, aNow);
   if (wait && aNow + *wait > ObjectiveLimit(found->second)) {
     aGroup.mOverloadedAt = aNow;
@@ -147,7 +154,7 @@
     members.push_back(&member);
   }
   std::vector<Member*> candidates;
-  const auto ahead = [&] { return WaitingAhead(aOperation, aGroup); };
+  const auto ahead = [&] { return WaitingAhead(aOperation, aGroup, aNow); };
   for (const std::size_t index :
        OrderReadOptions(options, aNow - aOperation.mArrivedAt, ahead)) {
     candidates.push_back(members[index]);
@@ -182,12 +189,16 @@
     aOperation.mIsPastObjective = true;
     // While other statements can still be answered within their objective, statements
     // that have missed theirs are refused.
-    if (WaitingAhead(aOperation, group) > 0 && PredictedWait(aOperation, group, aNow)) {
+    if (!HasCustomers() && WaitingAhead(aOperation, group, aNow) > 0 &&
+        PredictedWait(aOperation, group, aNow)) {
       group.mOverloadedAt = aNow;
       FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
       return;
     }
   }
+  if (HasCustomers() && RefuseWaitingByCustomer(aKey, group, aNow)) {
+    return;
+  }
   ScheduleOperation(aKey,
                     aOperation.mIsPastObjective
                       ? WaitLimit(aOperation)
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -19,21 +19,23 @@
   // An operation that finds no connection blocks later ones of the same kind only.
   // Where connections bear the names of customers, it blocks those of its customer only.
   std::set<std::pair<std::string_view, bool>> blocked;
-  std::vector<OperationKey> waiting = aGroup.mWaiting;
+  std::vector<OperationKey> waiting =
+    HasCustomers() ? OrderByCustomer(aGroup, aNow) : aGroup.mWaiting;
   // Operations that can still meet their objective go first, then by priority, then by
   // usual time (more callers are answered in time if short ones go first), then by
   // arrival.
-  std::stable_sort(
-    waiting.begin(), waiting.end(), [&](OperationKey aLeft, OperationKey aRight) {
-      const Operation& left = mOperations.at(aLeft);
-      const Operation& right = mOperations.at(aRight);
-      return std::tuple(left.mIsPastObjective,
-                        left.mRoute.mPriority,
-                        mWorkEstimates[WorkEstimateIndex(left)].LowerQuartile()) <
-             std::tuple(right.mIsPastObjective,
-                        right.mRoute.mPriority,
-                        mWorkEstimates[WorkEstimateIndex(right)].LowerQuartile());
-    });
+  const auto urgency = [&](OperationKey aKey) {
+    const Operation& operation = mOperations.at(aKey);
+    return std::tuple(operation.mIsPastObjective,
+                      operation.mRoute.mPriority,
+                      mWorkEstimates[WorkEstimateIndex(operation)].LowerQuartile());
+  };
+  if (!HasCustomers()) {
+    std::stable_sort(
+      waiting.begin(), waiting.end(), [&](OperationKey aLeft, OperationKey aRight) {
+        return urgency(aLeft) < urgency(aRight);
+      });
+  }
   for (const OperationKey key : waiting) {
     const auto found = mOperations.find(key);
     if (found == mOperations.end()) {
@@ -46,6 +48,10 @@
       continue;
     }
     if (TryStartOperation(key, operation, aGroup, aNow)) {
+      if (HasCustomers()) {
+        aGroup.mAdmission.OnStarted(
+          operation.mCustomer, NeedsPrimaryNow(operation), aNow);
+      }
       std::erase(aGroup.mWaiting, key);
     } else if (operation.mRefusingMembers.empty()) {
       blocked.emplace(operation.mCustomer, needsPrimary);
--- a/src/libs/proxy/proxycore_forwarding.cpp
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -14,6 +14,16 @@
 
 } // namespace
 
+std::uint32_t
+ProxyCore::HomesOf(const std::string& aCustomer, const std::string& aGroup) const
+{
+  const auto limits = mConfiguration.mGroups.find(aGroup);
+  const std::uint32_t connections =
+    limits == mConfiguration.mGroups.end() ? 1 : limits->second.mMaxConnections;
+  return HomeSpread(
+    mConfiguration.mCustomers.ShareOf(aCustomer), connections, mHooks.mHomeCount(aGroup));
+}
+
 std::optional<std::string>
 ProxyCore::PickHome(const Operation& aOperation,
                     const std::set<std::string>& aExcluded,
@@ -22,13 +32,7 @@
   if (aOperation.mCustomer.empty() || !mHooks.mPickCustomerHome) {
     return mHooks.mPickHome(aOperation.mGroup, aExcluded, aNow);
   }
-  const auto limits = mConfiguration.mGroups.find(aOperation.mGroup);
-  const std::uint32_t connections =
-    limits == mConfiguration.mGroups.end() ? 1 : limits->second.mMaxConnections;
-  const std::uint32_t spread =
-    HomeSpread(mConfiguration.mCustomers.ShareOf(aOperation.mCustomer),
-               connections,
-               mHooks.mHomeCount(aOperation.mGroup));
+  const std::uint32_t spread = HomesOf(aOperation.mCustomer, aOperation.mGroup);
   return mHooks.mPickCustomerHome(
     aOperation.mGroup, aOperation.mCustomer, spread, aExcluded, aNow);
 }
