Merge admission by customer

The order by customer takes its statements from OperationQueue; the prediction of the wait from a number of statements ahead is a function of its own, which both orders use.

--- a/src/libs/proxy/admission/operationqueue.cpp
+++ b/src/libs/proxy/admission/operationqueue.cpp
@@ -6,13 +6,6 @@
 
 namespace papayaspindle::proxy {
 
-namespace {
-
-/** Lower bound of the service time in predictions of the wait. */
-constexpr Duration kMinServiceTime = std::chrono::milliseconds(1);
-
-} // namespace
-
 void
 OperationQueue::Add(QueuedOperation aEntry)
 {
@@ -70,6 +63,17 @@
   return keys;
 }
 
+std::vector<OperationKey>
+OperationQueue::Keys() const
+{
+  std::vector<OperationKey> keys;
+  keys.reserve(mEntries.size());
+  for (const QueuedOperation& entry : mEntries) {
+    keys.push_back(entry.mKey);
+  }
+  return keys;
+}
+
 std::size_t
 OperationQueue::CountAhead(OperationKey aKey,
                            const OperationClass& aClass,
@@ -92,20 +96,7 @@
                               const WorkEstimates& aEstimates,
                               std::span<const MemberThroughput> aCandidates) const
 {
-  // Number of statements per second that this instance can complete at all candidates.
-  double perSecond = 0;
-  for (const MemberThroughput& candidate : aCandidates) {
-    const double seconds =
-      std::chrono::duration<double>(std::max(candidate.mServiceTime, kMinServiceTime))
-        .count();
-    perSecond += candidate.mLimit / seconds;
-  }
-  if (perSecond <= 0) {
-    return std::nullopt;
-  }
-  const double ahead = static_cast<double>(CountAhead(aKey, aClass, aEstimates)) + 1;
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(ahead / perSecond));
+  return PredictWait(CountAhead(aKey, aClass, aEstimates), aCandidates);
 }
 
 std::uint32_t
--- a/src/libs/proxy/admission/operationqueue.h
+++ b/src/libs/proxy/admission/operationqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timetypes.h"
+#include "proxy/admission/memberthroughput.h"
 #include "proxy/admission/workestimates.h"
 #include "proxy/keys.h"
 
@@ -37,15 +38,6 @@
   bool mIsPastObjective = false;
 };
 
-/** What a prediction of the wait considers of a member that can run an operation. */
-struct MemberThroughput
-{
-  /** Number of statements that this instance runs concurrently at the member. */
-  std::uint32_t mLimit = 1;
-  /** Smoothed time from sending a statement to its answer. */
-  Duration mServiceTime{};
-};
-
 /** Operations of a group that wait for a connection to a member. The usual times of
  * statements are passed to each call, because they change while operations wait. */
 class OperationQueue
@@ -61,6 +53,8 @@
 
   [[nodiscard]] bool IsEmpty() const { return mEntries.empty(); }
   [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
+  /** @return keys of all operations in the order in which they were added */
+  [[nodiscard]] std::vector<OperationKey> Keys() const;
   /** @return keys of all operations in the order in which they are dispatched */
   [[nodiscard]] std::vector<OperationKey> DispatchOrder(
     const WorkEstimates& aEstimates) const;
--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -4,6 +4,7 @@
 #include "core/timetypes.h"
 #include "decision/capacity/membercapacity.h"
 #include "proxy/admission/concurrencywindow.h"
+#include "proxy/admission/memberthroughput.h"
 #include "proxy/connections/memberpool.h"
 #include "proxy/memberentry.h"
 #include "proxy/slownesswatch.h"
@@ -65,6 +66,7 @@
   {
     return std::min(mWindow.Limit(), mCapacity.Limit());
   }
+  [[nodiscard]] MemberThroughput Throughput() const { return { Limit(), mServiceTime }; }
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "proxy/admission/admissioninput.h"
+#include "proxy/admission/admissionplan.h"
 #include "proxy/admission/workestimates.h"
 #include "proxy/explanation.h"
 #include "proxy/group.h"
@@ -246,6 +248,9 @@
   [[nodiscard]] bool NeedsToken(const Operation& aOperation) const;
 
   // proxycore_forwarding.cpp
+  /** @return number of homes of the group that the customer uses */
+  [[nodiscard]] std::uint32_t HomesOf(const std::string& aCustomer,
+                                      const std::string& aGroup) const;
   /** @return the home that runs the operation, possibly this instance, or nothing when
    * none is left */
   [[nodiscard]] std::optional<std::string> PickHome(
@@ -316,11 +321,40 @@
   /** Refuses a new operation whose predicted wait exceeds the latency objective. */
   void RefuseIfOverloaded(OperationKey aKey, Group& aGroup, TimePoint aNow);
   void OnWaitingTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow);
+  /** @return number of waiting operations that compete for the same members and are
+   * dispatched earlier */
+  [[nodiscard]] std::size_t WaitingAhead(const Operation& aOperation,
+                                         const Group& aGroup,
+                                         TimePoint aNow);
   [[nodiscard]] std::optional<LogPosition> RequiredPosition(const Operation& aOperation,
                                                             const Group& aGroup,
                                                             TimePoint aNow,
                                                             bool& aIsProven) const;
 
+  // proxycore_customeradmission.cpp
+  /** @param aNew operation that has arrived just now, which need not be queued yet */
+  AdmissionPlan PlanByCustomer(Group& aGroup, const Operation* aNew, TimePoint aNow);
+  /** @return waiting operations of the group in the order of dispatch */
+  std::vector<OperationKey> OrderByCustomer(Group& aGroup, TimePoint aNow);
+  /** @return number of waiting operations that are dispatched before aOperation, by
+   * customer */
+  std::size_t AheadByCustomer(const Operation& aOperation, TimePoint aNow);
+  /** Refuses a new operation that can't be served in time, marks the waiting ones that
+   * miss their objectives, and schedules the refusal of those that exceed their
+   * customers' shares. */
+  void RefuseByCustomer(OperationKey aKey, Group& aGroup, TimePoint aNow);
+  /** @return whether the waiting operation was refused */
+  bool RefuseWaitingByCustomer(OperationKey aKey, Group& aGroup, TimePoint aNow);
+  [[nodiscard]] CompletionRates RatesOf(const Group& aGroup, TimePoint aNow) const;
+  /** @return weight of the customer at one of its homes of the group; 0 for a customer
+   * without a limit */
+  [[nodiscard]] double WeightOf(const std::string& aCustomer, const Group& aGroup) const;
+  /** @return whether only the primary can run the operation at the moment */
+  [[nodiscard]] static bool NeedsPrimaryNow(const Operation& aOperation)
+  {
+    return aOperation.mNeedsPrimary || aOperation.mNeedsLeadershipProof;
+  }
+
   // proxycore_explain.cpp
   void ExplainMembers(const Operation& aOperation,
                       Explanation& aExplanation,
--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -21,12 +21,20 @@
                                    aOperation.mRoute.mLatencyObjective * kObjectiveShare);
 }
 
+std::size_t
+ProxyCore::WaitingAhead(const Operation& aOperation, const Group& aGroup, TimePoint aNow)
+{
+  return HasCustomers() ? AheadByCustomer(aOperation, aNow)
+                        : aGroup.mWaiting.CountAhead(
+                            aOperation.mKey, aOperation.Class(), mWorkEstimates);
+}
+
 std::optional<Duration>
 ProxyCore::PredictedWait(const Operation& aOperation, const Group& aGroup, TimePoint aNow)
 {
   std::vector<MemberThroughput> candidates;
   const auto add = [&](const Member& aMember) {
-    candidates.push_back({ aMember.Limit(), aMember.mServiceTime });
+    candidates.push_back(aMember.Throughput());
   };
   if (aOperation.mNeedsPrimary || aOperation.mNeedsLeadershipProof) {
     if (const Member* primary = PrimaryMember(aGroup, aNow)) {
@@ -37,8 +45,7 @@
       add(*member);
     }
   }
-  return aGroup.mWaiting.PredictedWait(
-    aOperation.mKey, aOperation.Class(), mWorkEstimates, candidates);
+  return PredictWait(WaitingAhead(aOperation, aGroup, aNow), candidates);
 }
 
 void
@@ -48,6 +55,10 @@
   if (found == mOperations.end() || found->second.mStage != OperationStage::Waiting) {
     return;
   }
+  if (HasCustomers()) {
+    RefuseByCustomer(aKey, aGroup, aNow);
+    return;
+  }
   const auto wait = PredictedWait(found->second, aGroup, aNow);
   if (wait && aNow + *wait > ObjectiveLimit(found->second)) {
     aGroup.mOverloadedAt = aNow;
@@ -115,10 +126,7 @@
     members.push_back(&member);
   }
   std::vector<Member*> candidates;
-  const auto ahead = [&] {
-    return aGroup.mWaiting.CountAhead(
-      aOperation.mKey, aOperation.Class(), mWorkEstimates);
-  };
+  const auto ahead = [&] { return WaitingAhead(aOperation, aGroup, aNow); };
   for (const std::size_t index :
        OrderReadOptions(options, aNow - aOperation.mArrivedAt, ahead)) {
     candidates.push_back(members[index]);
@@ -147,14 +155,16 @@
     group.mWaiting.MarkPastObjective(aKey);
     // While other statements can still be answered within their objective, statements
     // that have missed theirs are refused.
-    const std::size_t ahead =
-      group.mWaiting.CountAhead(aKey, aOperation.Class(), mWorkEstimates);
-    if (ahead > 0 && PredictedWait(aOperation, group, aNow)) {
+    if (!HasCustomers() && WaitingAhead(aOperation, group, aNow) > 0 &&
+        PredictedWait(aOperation, group, aNow)) {
       group.mOverloadedAt = aNow;
       FailOperation(aKey, AnswerCode::Busy, "overloaded", aNow);
       return;
     }
   }
+  if (HasCustomers() && RefuseWaitingByCustomer(aKey, group, aNow)) {
+    return;
+  }
   ScheduleOperation(aKey,
                     aOperation.mIsPastObjective
                       ? WaitLimit(aOperation)
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -17,7 +17,10 @@
   // An operation that finds no connection blocks later ones of the same kind only.
   // Where connections bear the names of customers, it blocks those of its customer only.
   std::set<std::pair<std::string_view, bool>> blocked;
-  for (const OperationKey key : aGroup.mWaiting.DispatchOrder(mWorkEstimates)) {
+  const std::vector<OperationKey> waiting =
+    HasCustomers() ? OrderByCustomer(aGroup, aNow)
+                   : aGroup.mWaiting.DispatchOrder(mWorkEstimates);
+  for (const OperationKey key : waiting) {
     const auto found = mOperations.find(key);
     if (found == mOperations.end()) {
       continue;
@@ -29,6 +32,10 @@
       continue;
     }
     if (TryStartOperation(key, operation, aGroup, aNow)) {
+      if (HasCustomers()) {
+        aGroup.mAdmission.OnStarted(
+          operation.mCustomer, NeedsPrimaryNow(operation), aNow);
+      }
       aGroup.mWaiting.Remove(key);
     } else if (operation.mRefusingMembers.empty()) {
       blocked.emplace(operation.mCustomer, needsPrimary);
