Ping homes without a connection every 250 ms for the time of a restart

Cause: with intervals that doubled, a home that returned after a second could stay unresponsive for another second.

--- a/src/libs/proxy/homemonitor.cpp
+++ b/src/libs/proxy/homemonitor.cpp
@@ -14,10 +14,19 @@
 constexpr Duration kSilenceBeforePing = 100ms;
 // Many round trips within a region, and the turn of the event loop of a busy instance.
 constexpr Duration kPingTimeout = 150ms;
-// Interval of the pings to an unresponsive home, which doubles with each lost connection
-// up to the maximum.
+// Interval of the pings to an unresponsive home. A restarted process has to be found
+// soon, because few homes serve all statements after a loss of many instances.
 constexpr Duration kRetryInterval = 250ms;
-constexpr Duration kMaxRetryInterval = 1s;
+// Interval of the pings to a home that stays away for longer than a restart takes.
+constexpr Duration kLongRetryInterval = 1s;
+constexpr Duration kRestartTime = 4s;
+
+/** @return time between two pings to a home that is unresponsive since aSince */
+Duration
+RetryInterval(TimePoint aSince, TimePoint aNow)
+{
+  return aNow - aSince < kRestartTime ? kRetryInterval : kLongRetryInterval;
+}
 
 } // namespace
 
@@ -62,11 +71,12 @@
     return;
   }
   Home& home = found->second;
+  if (home.mIsResponsive) {
+    home.mUnresponsiveSince = aNow;
+  }
   // A failed attempt to connect ends the ping that started it.
-  home.mPingPause = home.mIsResponsive ? kRetryInterval
-                                       : std::min(home.mPingPause * 2, kMaxRetryInterval);
   home.mPingedAt = aNow;
-  mNextCheck = std::min(mNextCheck, aNow + home.mPingPause);
+  mNextCheck = std::min(mNextCheck, aNow + kRetryInterval);
   SetResponsive(aHome, home, false);
 }
 
@@ -93,7 +103,8 @@
   mNextCheck = aNow + kCheckInterval;
   for (auto& [name, home] : mHomes) {
     if (!home.mIsResponsive) {
-      if (!home.mPingedAt || aNow - *home.mPingedAt >= home.mPingPause) {
+      if (!home.mPingedAt ||
+          aNow - *home.mPingedAt >= RetryInterval(home.mUnresponsiveSince, aNow)) {
         home.mPingedAt = aNow;
         mHooks.mPing(name);
       }
@@ -106,7 +117,7 @@
       home.mPingedAt = aNow;
       mHooks.mPing(name);
     } else if (aNow - *home.mPingedAt >= kPingTimeout) {
-      home.mPingPause = kRetryInterval;
+      home.mUnresponsiveSince = aNow;
       SetResponsive(name, home, false);
     }
   }
--- a/src/libs/proxy/homemonitor.h
+++ b/src/libs/proxy/homemonitor.h
@@ -66,8 +66,8 @@
     TimePoint mSilentSince;
     /** When an unanswered ping was sent. */
     std::optional<TimePoint> mPingedAt;
-    /** Time between two pings while the home is unresponsive. */
-    Duration mPingPause{};
+    /** Since when the home is unresponsive; only meaningful while it is. */
+    TimePoint mUnresponsiveSince;
     bool mIsResponsive = true;
   };
 
