Test the memory of an instance against peers, transactions and endless answers

Cause: unfinished messages of other instances, statements inside transactions and answers with rows without end are not bounded by clientLimits.

--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -208,9 +208,12 @@
     """Entry instances, a store and one database group, for the time of a `with` block."""
 
     def __init__(self, binary, instances=3, lag_s=0.05, descriptors=1000, memory_mb=260,
-                 client_limits=None, tenants=None):
-        """`tenants` is the list of customers, or returns it for each version of the configuration."""
+                 client_limits=None, tenants=None, connections=32, idle_ms=3000):
+        """`tenants` is the list of customers, or returns it for each version of the configuration,
+        `connections` the limit of connections to a member,
+        `idle_ms` the time after which an idle transaction ends."""
         self.binary, self.lag_s, self.descriptors = binary, lag_s, descriptors
+        self.connections, self.idle_ms = connections, idle_ms
         self.memory_mb, self.client_limits, self.tenants = memory_mb, client_limits, tenants
         self.directory = tempfile.mkdtemp(prefix="papayaspindle-e2e-")
         self.names = [f"instance-{n}" for n in range(instances)]
@@ -250,8 +253,8 @@
         ]
         config = {
             "version": self.version, "routes": routes,
-            "backends": [{"name": "g1", "maxConns": 32, "syncReplicas": 0}],
-            "limits": {"txIdleMs": 3000},
+            "backends": [{"name": "g1", "maxConns": self.connections, "syncReplicas": 0}],
+            "limits": {"txIdleMs": self.idle_ms},
         }
         if self.tenants:
             config["tenants"] = self.tenants() if callable(self.tenants) else self.tenants
--- a/tests/e2e/standin.py
+++ b/tests/e2e/standin.py
@@ -243,6 +243,12 @@
                 text = (await reader.readuntil(b"\r\n"))[:-2].decode()
                 word, ident, query = text.split(" ", 2)
                 self.group.on_line(text)
+                if self.group.endless_item and query.endswith("READ " + self.group.endless_item):
+                    while True:
+                        writer.write(b"ROW \r\n" * 10_000)
+                        await writer.drain()
+                if self.group.stall_item and f"WRITE {self.group.stall_item}" in query:
+                    await asyncio.sleep(self.group.stall_s)
                 answer = self._run(session, ident, query)
                 self.group.on_statement(caller, ident, not answer.startswith("ERROR"))
                 writer.write(answer.encode())
@@ -340,6 +346,10 @@
         # in which its connection was opened and whether the member ran it.
         self.on_line = lambda line: None
         self.on_statement = lambda caller, ident, has_run: None
+        # A member answers a READ of this item with rows without end.
+        self.endless_item = None
+        # A member delays its answer to a WRITE of items that begin with this name.
+        self.stall_item, self.stall_s = None, 0
         self.members = {f"i-{name}-{n}": Member(self, f"i-{name}-{n}", n == 0) for n in range(size)}
         self.primary = next(iter(self.members.values()))
         store.groups[name] = self
