--- a/src/libs/eventloop/streamtable.cpp
+++ b/src/libs/eventloop/streamtable.cpp
@@ -67,6 +67,7 @@
   : mLoop(aLoop)
   , mLimit(aLimit)
 {
+  mOutputLimits.fill(kMaxQueuedBytes);
 }
 
 StreamTable::~StreamTable() = default;
@@ -265,7 +266,8 @@
   }
   Stream& stream = *found->second;
   const bool isOverLimit =
-    stream.mOutput.size() + aBytes.size() > kMaxQueuedBytes ||
+    stream.mOutput.size() + aBytes.size() >
+      mOutputLimits[static_cast<std::size_t>(stream.mHooks.mOutputUse)] ||
     (mAccount == nullptr && mQueuedBytes + aBytes.size() > kMaxQueuedBytesTotal);
   if (isOverLimit) {
     mStreamsToEnd.push_back(aStream);
--- a/src/libs/eventloop/streamtable.h
+++ b/src/libs/eventloop/streamtable.h
@@ -7,6 +7,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,8 +21,9 @@
 class StreamTable
 {
 public:
-  /** Bytes of queued output at which a stream ends. Limits the memory that a peer which
-   * doesn't read can occupy; room for several of the largest answers. */
+  /** Bytes of queued output at which a stream ends unless SetOutputLimit sets others.
+   * Limits the memory that a peer which doesn't read can occupy; room for several of the
+   * largest answers. */
   static constexpr std::size_t kMaxQueuedBytes = 4U << 20U;
 
   /** Receives the key of an accepted stream. */
@@ -38,6 +40,12 @@
    * the queued output of all streams together, instead of a fixed limit. */
   void SetAccount(MemoryAccount* aAccount) { mAccount = aAccount; }
 
+  /** Sets the bytes of queued output at which a stream with an output use ends. */
+  void SetOutputLimit(MemoryUse aUse, std::size_t aBytes)
+  {
+    mOutputLimits[static_cast<std::size_t>(aUse)] = aBytes;
+  }
+
   /**
    * Accepts streams at an address for the lifetime of the table.
    *
@@ -133,6 +141,8 @@
   EventLoop& mLoop;
   std::size_t mLimit;
   MemoryAccount* mAccount = nullptr;
+  /** Bytes of queued output at which a stream ends, by output use. */
+  std::array<std::size_t, kMemoryUses> mOutputLimits;
   /** Bytes of queued output of all streams. */
   std::size_t mQueuedBytes = 0;
   std::vector<Listener> mListeners;
--- a/src/libs/forwarding/forwardclient.cpp
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -239,8 +239,11 @@
     mHooks.mAnswered(operation, std::move(*answer), aInstance);
     return;
   }
-  const bool isRefused = !IsOk(aReply) && ErrorOf(aReply).mKind == ErrorKind::Draining;
-  mHooks.mFailed(operation, !isRefused, aInstance);
+  if (!IsOk(aReply) && ErrorOf(aReply).mKind == ErrorKind::Draining) {
+    mHooks.mRefused(operation);
+    return;
+  }
+  mHooks.mFailed(operation, true, aInstance);
 }
 
 void
--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -30,6 +30,8 @@
    * received it */
   std::function<void(proxy::OperationKey, bool aWasSent, const std::string& aInstance)>
     mFailed;
+  /** A home instance has refused a statement before it had received it as a whole. */
+  std::function<void(proxy::OperationKey)> mRefused;
   /** An instance has accepted the connection or sent data. */
   std::function<void(const std::string& aInstance)> mPeerResponded;
   /** The connection to an instance has ended or couldn't be opened. */
@@ -46,7 +48,7 @@
 
   ForwardClient(StreamTable& aStreams, ForwardClientHooks aHooks);
 
-  /** Sends a statement to a home instance; mAnswered or mFailed reports the result, never
+  /** Sends a statement to a home instance; mAnswered, mFailed or mRefused reports the result, never
    * from within this call. */
   void Forward(const std::string& aInstance,
                proxy::OperationKey aOperation,
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -255,6 +255,57 @@
   }
 }
 
+void
+ForwardServer::AccountLink(StreamKey aStream, Link& aLink)
+{
+  aLink.mUnfinishedBytes = aLink.mSession->IncompleteBytes();
+  mStreams.SetHeldBytes(aStream, aLink.mSession->BufferedBytes());
+}
+
+std::size_t
+ForwardServer::LargestUnfinishedBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [stream, link] : mLinks) {
+    bytes = std::max(bytes, link.mUnfinishedBytes);
+  }
+  return bytes;
+}
+
+std::size_t
+ForwardServer::RefuseLargestUnfinished()
+{
+  const auto largest =
+    std::max_element(mLinks.begin(), mLinks.end(), [](const auto& aOne, const auto& aTwo) {
+      return aOne.second.mUnfinishedBytes < aTwo.second.mUnfinishedBytes;
+    });
+  if (largest == mLinks.end()) {
+    return 0;
+  }
+  const std::size_t bytes = largest->second.mSession->RefuseLargestIncomplete();
+  AccountLink(largest->first, largest->second);
+  mLinksToFlush.insert(largest->first);
+  return bytes;
+}
+
+std::size_t
+ForwardServer::RefuseOverdue(Duration aTimeout, TimePoint aNow)
+{
+  std::size_t refused = 0;
+  for (auto& [stream, link] : mLinks) {
+    if (aNow - link.mMarkedAt <= aTimeout) {
+      continue;
+    }
+    // Streams are numbered in the order in which they begin.
+    refused += link.mSession->RefuseIncompleteUpTo(link.mMarkedRequest);
+    link.mMarkedRequest = link.mSession->NewestRequest();
+    link.mMarkedAt = aNow;
+    AccountLink(stream, link);
+    mLinksToFlush.insert(stream);
+  }
+  return refused;
+}
+
 bool
 ForwardServer::HasOutput() const
 {
@@ -289,7 +340,7 @@
     if (!output.empty()) {
       mStreams.Write(stream, output);
     }
-    mStreams.SetHeldBytes(stream, found->second.mSession->BufferedBytes());
+    AccountLink(stream, found->second);
   }
   for (const StreamKey stream : failedLinks) {
     mStreams.Close(stream);
--- a/src/libs/forwarding/forwardserver.h
+++ b/src/libs/forwarding/forwardserver.h
@@ -58,6 +58,15 @@
   [[nodiscard]] std::size_t QueuedRelayBytes() const { return mQueuedRelayBytes; }
   /** Answers a session's statement. */
   void AnswerStatement(proxy::SessionKey aSession, const proxy::ClientAnswer& aAnswer);
+  /** @return bytes of the messages that are received in part, of the link that holds most
+   * of them */
+  [[nodiscard]] std::size_t LargestUnfinishedBytes() const;
+  /** Refuses the longest unfinished message of the link that holds most bytes of them.
+   * Its entry instance learns that nothing has run. @return bytes of the message */
+  std::size_t RefuseLargestUnfinished();
+  /** Refuses messages that have been unfinished for the timeout, or for up to twice the
+   * timeout. @return their number */
+  std::size_t RefuseOverdue(Duration aTimeout, TimePoint aNow);
   /** Passes queued output to the streams; called once in each turn of the event loop. */
   void Flush();
   /** @return whether a link has more output that its stream has room for */
@@ -78,6 +87,11 @@
   struct Link
   {
     std::unique_ptr<Http2Session> mSession;
+    /** Bytes of messages that are received in part, as of the last Flush. */
+    std::size_t mUnfinishedBytes = 0;
+    /** The newest HTTP/2 stream at mMarkedAt. */
+    std::int32_t mMarkedRequest = 0;
+    TimePoint mMarkedAt;
     /** Unanswered relay requests of the link's instance. */
     std::set<proxy::RelayKey> mRelayRequests;
     /** Keys of sessions at this instance, by their keys at the entry instance. */
@@ -106,6 +120,8 @@
   void OnRequest(StreamKey aStream, std::int32_t aRequest, const PeerRequest& aMessage);
   /** Handles that the entry instance has given up a statement. */
   void OnCancelled(StreamKey aStream, std::int32_t aRequest);
+  /** Accounts the bytes that a link's streams occupy. */
+  void AccountLink(StreamKey aStream, Link& aLink);
   /** Passes on the received statements that were not cancelled meanwhile. */
   void PassOnReceived();
 
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -80,6 +80,8 @@
    * @param aWasSent whether the home may have received the statement
    */
   void OnForwardFailed(OperationKey aOperation, bool aWasSent, TimePoint aNow);
+  /** Handles that the home has refused a statement, which it has not run. */
+  void OnForwardRefused(OperationKey aOperation, TimePoint aNow);
   /** Forwards the reads that an unresponsive home has not answered to other homes. All
    * other statements continue to wait for their answer. */
   void OnHomeUnresponsive(std::string_view aHome, TimePoint aNow);
--- a/src/libs/proxy/proxycore_forwarding.cpp
+++ b/src/libs/proxy/proxycore_forwarding.cpp
@@ -197,6 +197,22 @@
                 aNow);
 }
 
+void
+ProxyCore::OnForwardRefused(OperationKey aOperation, TimePoint aNow)
+{
+  const auto found = mOperations.find(aOperation);
+  if (found == mOperations.end() || found->second.mStage != OperationStage::Forwarded) {
+    return;
+  }
+  const Operation& operation = found->second;
+  if (operation.mPurpose == OperationPurpose::TransactionNext) {
+    // The home holds the transaction open and has to roll it back, because the client
+    // learns that it is aborted.
+    mHooks.mEndForwardedTransaction(operation.mHome, operation.mSession);
+  }
+  OnForwardFailed(aOperation, false, aNow);
+}
+
 void
 ProxyCore::OnHomeUnresponsive(std::string_view aHome, TimePoint aNow)
 {
--- a/src/libs/proxy/proxycore_sessionstate.cpp
+++ b/src/libs/proxy/proxycore_sessionstate.cpp
@@ -94,6 +94,7 @@
   }
   const Session& session = found->second;
   usage.mStateBytes = session.mStateBytes;
+  usage.mHasTransaction = session.mTransaction.has_value();
   if (session.mIsForwarded) {
     for (const auto& [name, value] : session.mValues) {
       usage.mStateBytes += EntryBytes(name.size(), value.size());
--- a/src/libs/proxy/session.h
+++ b/src/libs/proxy/session.h
@@ -60,6 +60,8 @@
   std::size_t mQueued = 0;
   /** Whether a member or a home instance may be running the session's statement. */
   bool mIsRunning = false;
+  /** Whether the session has an open transaction. */
+  bool mHasTransaction = false;
 };
 
 /** A client's session. */
--- a/src/libs/transport/http2callbacks.cpp
+++ b/src/libs/transport/http2callbacks.cpp
@@ -187,6 +187,14 @@
   return 0;
 }
 
+void
+Http2Session::Private::Refuse(std::int32_t aStream)
+{
+  mStreams.erase(aStream);
+  nghttp2_submit_rst_stream(
+    mSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_REFUSED_STREAM);
+}
+
 void
 Http2Session::Private::Answer(Http2Stream& aStream, Result<std::string> aReply)
 {
--- a/src/libs/transport/http2session.cpp
+++ b/src/libs/transport/http2session.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace papayaspindle {
 
@@ -95,11 +96,60 @@
   // A body to send is kept as a whole until its last byte is taken.
   std::size_t bytes = 0;
   for (const auto& [id, stream] : mPrivate->mStreams) {
-    bytes += stream.mBody.size() + stream.mOutgoing.size();
+    bytes += stream.HeldBytes();
   }
   return bytes;
 }
 
+std::size_t
+Http2Session::IncompleteBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [id, stream] : mPrivate->mStreams) {
+    bytes += stream.mComplete ? 0 : stream.HeldBytes();
+  }
+  return bytes;
+}
+
+std::size_t
+Http2Session::RefuseLargestIncomplete()
+{
+  const Http2Stream* largest = nullptr;
+  for (const auto& [id, stream] : mPrivate->mStreams) {
+    if (!stream.mComplete &&
+        (largest == nullptr || stream.HeldBytes() > largest->HeldBytes())) {
+      largest = &stream;
+    }
+  }
+  if (largest == nullptr) {
+    return 0;
+  }
+  const std::size_t bytes = largest->HeldBytes();
+  mPrivate->Refuse(largest->mId);
+  return bytes;
+}
+
+std::size_t
+Http2Session::RefuseIncompleteUpTo(std::int32_t aStream)
+{
+  std::vector<std::int32_t> refused;
+  for (const auto& [id, stream] : mPrivate->mStreams) {
+    if (id <= aStream && !stream.mComplete) {
+      refused.push_back(id);
+    }
+  }
+  for (const std::int32_t id : refused) {
+    mPrivate->Refuse(id);
+  }
+  return refused.size();
+}
+
+std::int32_t
+Http2Session::NewestRequest() const
+{
+  return nghttp2_session_get_last_proc_stream_id(mPrivate->mSession);
+}
+
 bool
 Http2Session::IsFinished() const
 {
--- a/src/libs/transport/http2session.h
+++ b/src/libs/transport/http2session.h
@@ -60,8 +60,11 @@
    * @return false when the connection must close
    */
   [[nodiscard]] bool Produce(std::string& aOut, std::size_t aMaxBytes);
-  /** @return bytes of messages that are received in part or not sent yet */
+  /** @return bytes that open streams occupy: messages that are received in part or not
+   * sent yet, and the streams themselves */
   [[nodiscard]] std::size_t BufferedBytes() const;
+  /** Server: @return bytes of requests that are received in part */
+  [[nodiscard]] std::size_t IncompleteBytes() const;
   /** @return whether the connection has ended in both directions */
   [[nodiscard]] bool IsFinished() const;
 
@@ -73,6 +76,18 @@
   void CancelRequest(std::int32_t aStream);
   /** Server: answers a request; does nothing when its stream has ended. */
   void SubmitReply(std::int32_t aStream, Result<std::string> aReply);
+  /**
+   * Server: resets the request that occupies most among those that are received in part.
+   * The other side learns that it was not processed.
+   *
+   * @return bytes that it occupied, or 0 when there is none
+   */
+  std::size_t RefuseLargestIncomplete();
+  /** Server: resets all requests up to a stream that are received in part. @return their
+   * number */
+  std::size_t RefuseIncompleteUpTo(std::int32_t aStream);
+  /** Server: @return the newest stream of the other side, or 0 */
+  [[nodiscard]] std::int32_t NewestRequest() const;
   /** Asks the other side for a sign of life. */
   void SubmitPing();
   /** Server: takes no further requests and finishes those in flight. */
--- a/src/libs/transport/http2session_p.h
+++ b/src/libs/transport/http2session_p.h
@@ -41,6 +41,8 @@
   void HandleRequest(Http2Stream& aStream);
   void Answer(Http2Stream& aStream, Result<std::string> aReply);
   void HandleMessageFrame(const nghttp2_frame& aFrame);
+  /** Resets a request that is received in part; what still arrives of it is ignored. */
+  void Refuse(std::int32_t aStream);
   void SubmitSettings();
 
   static Private& Of(void* aUser) { return *static_cast<Private*>(aUser); }
--- a/src/libs/transport/http2stream.cpp
+++ b/src/libs/transport/http2stream.cpp
@@ -9,6 +9,21 @@
 
 namespace papayaspindle {
 
+namespace {
+
+// State of a stream here and in nghttp2: 100,000 streams without a body occupied about
+// 65 MB.
+constexpr std::size_t kStreamOverheadBytes = 768;
+
+} // namespace
+
+std::size_t
+Http2Stream::HeldBytes() const
+{
+  return kStreamOverheadBytes + mMethod.size() + mTraceparent.size() + mStatus.size() +
+         mCheck.size() + mBody.size() + mOutgoing.size();
+}
+
 void
 Http2Stream::SetField(std::string_view aName, std::string_view aValue)
 {
--- a/src/libs/transport/http2stream.h
+++ b/src/libs/transport/http2stream.h
@@ -34,6 +34,8 @@
   std::size_t mTaken = 0;
   std::string mOutgoingCheck;
 
+  /** @return bytes that the stream occupies: header fields, bodies and its state */
+  [[nodiscard]] std::size_t HeldBytes() const;
   /** Takes one header or trailer field; unknown ones are ignored. */
   void SetField(std::string_view aName, std::string_view aValue);
   /** Takes a part of the body. */
