Release the buffer of a forwarded message once it is sent

An assigned empty string keeps its capacity, so that each statement that another instance ran occupied its length twice at the entry instance, once unaccounted.

--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -48,8 +48,8 @@
 
   ForwardClient(StreamTable& aStreams, ForwardClientHooks aHooks);
 
-  /** Sends a statement to a home instance; mAnswered, mFailed or mRefused reports the result, never
-   * from within this call. */
+  /** Sends a statement to a home instance; mAnswered, mFailed or mRefused reports the
+   * result, never from within this call. */
   void Forward(const std::string& aInstance,
                proxy::OperationKey aOperation,
                const proxy::ForwardedStatement& aStatement,
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -275,8 +275,8 @@
 std::size_t
 ForwardServer::RefuseLargestUnfinished()
 {
-  const auto largest =
-    std::max_element(mLinks.begin(), mLinks.end(), [](const auto& aOne, const auto& aTwo) {
+  const auto largest = std::max_element(
+    mLinks.begin(), mLinks.end(), [](const auto& aOne, const auto& aTwo) {
       return aOne.second.mUnfinishedBytes < aTwo.second.mUnfinishedBytes;
     });
   if (largest == mLinks.end()) {
--- a/src/libs/transport/http2callbacks.cpp
+++ b/src/libs/transport/http2callbacks.cpp
@@ -37,8 +37,9 @@
     if (nghttp2_submit_trailer(aSession, aStream, &trailer, 1) != 0) {
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
-    // The whole body was taken; the stream may stay open for long until its reply.
-    stream->mOutgoing = std::string();
+    // The whole body was taken; the stream may stay open for long until its reply. The
+    // assignment of an empty string would keep the buffer.
+    std::string().swap(stream->mOutgoing);
     stream->mTaken = 0;
   }
   return static_cast<ssize_t>(count);
@@ -191,8 +192,7 @@
 Http2Session::Private::Refuse(std::int32_t aStream)
 {
   mStreams.erase(aStream);
-  nghttp2_submit_rst_stream(
-    mSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_REFUSED_STREAM);
+  nghttp2_submit_rst_stream(mSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_REFUSED_STREAM);
 }
 
 void
