--- a/tests/auto/eventloop/tst_streamtable.cpp
+++ b/tests/auto/eventloop/tst_streamtable.cpp
@@ -143,6 +143,25 @@
   REQUIRE(stream.mStreams.size() == 0);
 }
 
+// Guards against a setting for unread answers that has no effect, or that also applies to
+// the links between instances.
+TEST_CASE("the limit of queued output is set for each use")
+{
+  constexpr std::size_t kBytes = 1U << 20U;
+  AcceptedStream limited;
+  limited.mStreams.SetOutputLimit(MemoryUse::Answers, kBytes);
+  limited.mStreams.Write(limited.mKey, std::string(kBytes, 'x'));
+  limited.mStreams.Write(limited.mKey, "x");
+  REQUIRE(limited.RunUntil([&] { return limited.mEnded == 1; }));
+  AcceptedStream other;
+  other.mStreams.SetOutputLimit(MemoryUse::Links, kBytes);
+  other.mStreams.Write(other.mKey, std::string(kBytes, 'x'));
+  other.mStreams.Write(other.mKey, "x");
+  other.mStreams.Flush();
+  REQUIRE(other.mEnded == 0);
+  REQUIRE(other.mStreams.size() == 1);
+}
+
 // Guards against statements that stay in the buffer of a resumed client until more
 // arrive.
 TEST_CASE("input that was left is passed on again")
--- a/tests/auto/platform/tst_linecodec.cpp
+++ b/tests/auto/platform/tst_linecodec.cpp
@@ -126,6 +126,35 @@
   REQUIRE(MemberReplyReader().AddLine("HELLO") == LineResult::Malformed);
 }
 
+// Guards against a member that sends rows without end: short rows occupy more memory than
+// their bytes, and empty ones have no bytes.
+TEST_CASE("an answer with too many bytes or rows is too long")
+{
+  using LineResult = MemberReplyReader::LineResult;
+  MemberReplyReader bytes;
+  bytes.SetLimits({ 10, 100 });
+  REQUIRE(bytes.AddLine("ROW 0123456789") == LineResult::Incomplete);
+  REQUIRE(bytes.AddLine("ROW x") == LineResult::TooLong);
+  MemberReplyReader rows;
+  rows.SetLimits({ 10, 3 });
+  for (int row = 0; row < 3; row++) {
+    REQUIRE(rows.AddLine("ROW ") == LineResult::Incomplete);
+  }
+  REQUIRE(rows.PendingRows() == 3);
+  REQUIRE(rows.PendingBytes() >= 3 * sizeof(std::string));
+  REQUIRE(rows.AddLine("ROW ") == LineResult::TooLong);
+  // The limits apply to each answer.
+  MemberReplyReader next;
+  next.SetLimits({ 10, 1 });
+  for (int answer = 0; answer < 3; answer++) {
+    REQUIRE(next.AddLine("ROW 0123456789") == LineResult::Incomplete);
+    REQUIRE(next.AddLine("COMPLETE -") == LineResult::Incomplete);
+    REQUIRE(next.AddLine("READY I -") == LineResult::Complete);
+    next.TakeReply();
+    REQUIRE(next.PendingBytes() == 0);
+  }
+}
+
 TEST_CASE("the row of a STATUS answer is decoded")
 {
   MemberReplyReader reader;
--- a/tests/auto/platform/tst_platformdecoding.cpp
+++ b/tests/auto/platform/tst_platformdecoding.cpp
@@ -75,6 +75,10 @@
   REQUIRE(AccountLimit(ValueOf(absent)) == 130U << 20U);
   REQUIRE(LimitsOf(ValueOf(absent)).mConnections == 3900);
   REQUIRE(ValueOf(absent).mClientLimits.mMessageTimeout == 60s);
+  REQUIRE(ValueOf(absent).mClientLimits.mPeerMessageTimeout == 10s);
+  REQUIRE(ValueOf(absent).mClientLimits.mUnreadAnswersBytes == 4194304);
+  REQUIRE(ValueOf(absent).mClientLimits.mAnswer.mBytes == 4194304);
+  REQUIRE(ValueOf(absent).mClientLimits.mAnswer.mRows == 131072);
   const auto with = [](const std::string& aLimits) {
     return ParseSettings(
       Replaced(kSettings, "\"node\"", "\"clientLimits\": {" + aLimits + "}, \"node\""));
@@ -82,7 +86,8 @@
   const auto changed = with(
     R"("memoryShare": 0.25, "connections": 50, "queuedStatements": 3, "queuedBytes": 10,
        "unreadBytes": 20, "sessionBytes": 30, "startTimeoutMs": 40, "messageTimeoutMs": 50,
-       "answerTimeoutMs": 60, "linkTimeoutMs": 70)");
+       "answerTimeoutMs": 60, "linkTimeoutMs": 70, "peerMessageTimeoutMs": 80,
+       "unreadAnswersBytes": 2097152, "answerBytes": 1048576, "answerRows": 90)");
   REQUIRE(IsOk(changed));
   const ClientLimits limits = LimitsOf(ValueOf(changed));
   REQUIRE(AccountLimit(ValueOf(changed)) == 65U << 20U);
@@ -95,6 +100,10 @@
   REQUIRE(limits.mMessageTimeout == 50ms);
   REQUIRE(limits.mAnswerTimeout == 60ms);
   REQUIRE(limits.mLinkTimeout == 70ms);
+  REQUIRE(limits.mPeerMessageTimeout == 80ms);
+  REQUIRE(limits.mUnreadAnswersBytes == 2097152);
+  REQUIRE(limits.mAnswer.mBytes == 1048576);
+  REQUIRE(limits.mAnswer.mRows == 90);
   // More connections than the descriptors allow are not accepted.
   REQUIRE(LimitsOf(ValueOf(with(R"("connections": 100000)"))).mConnections == 3900);
   for (const char* invalid : { R"("memoryShare": 0)",
@@ -102,6 +111,10 @@
                                R"("queuedStatements": 0)",
                                R"("sessionBytes": -1)",
                                R"("messageTimeoutMs": 0)",
+                               R"("peerMessageTimeoutMs": 0)",
+                               R"("unreadAnswersBytes": 2097151)",
+                               R"("answerBytes": 1048575)",
+                               R"("answerRows": 0)",
                                R"("answerTimeoutMs": 1e15)" }) {
     INFO(invalid);
     const auto refused = with(invalid);
