--- a/tests/e2e/platform_misuse_peers.py
+++ b/tests/e2e/platform_misuse_peers.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
 """Checks that an instance stays within its memory and descriptors whatever other instances and
-members send, and whatever clients send inside open transactions.
+members, operators and the store send, and whatever clients send inside open transactions.
 
 usage: platform_misuse_peers.py BINARY SCENARIO
 Guards against an instance that the platform kills because links leave their messages unfinished,
@@ -35,6 +35,8 @@
 # Less than the statement timeout of the routes, 800 ms.
 MEMBER_DELAY_S = 0.5
 READERS = 4
+OPERATORS = 100
+OPERATOR_REQUESTS = 50_000
 # Transactions stay open while the crowd prepares its statements.
 IDLE_MS = 20_000
 
@@ -70,6 +72,13 @@
     return frame(HEADERS, END_HEADERS, stream, b"".join(header(*field) for field in fields))
 
 
+class OperatorPort:
+    """The port of an instance that RawClient connects to."""
+
+    def __init__(self, port):
+        self.port = port
+
+
 class PeerLink:
     """An HTTP/2 connection to the peer port of an instance that finishes no message."""
 
@@ -202,6 +211,28 @@
     return clients
 
 
+async def operator_requests(system):
+    """Requests for metrics in one go, whose responses aren't read."""
+    crowd = []
+    for _ in range(OPERATORS):
+        client = RawClient(system.instances[0])
+        client.instance = OperatorPort(system.instances[0].metrics_port)
+        await client.connect()
+        client.stop_reading()
+        crowd.append(client)
+    data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * OPERATOR_REQUESTS
+    await asyncio.wait([asyncio.create_task(client.send(data)) for client in crowd], timeout=5)
+    return crowd
+
+
+async def store_answer_without_end(system):
+    system.store.mode = "endless"
+    system.instances[0].proxy.reset()
+    await asyncio.sleep(4)
+    system.store.mode = "ok"
+    return []
+
+
 SCENARIOS = {
     "unfinished_peer_messages": unfinished_peer_messages,
     "bodiless_peer_messages": bodiless_peer_messages,
@@ -209,6 +240,8 @@
     "statements_in_transactions": statements_in_transactions,
     "statements_in_forwarded_transactions": statements_in_forwarded_transactions,
     "values_in_forwarded_transactions": values_in_forwarded_transactions,
+    "operator_requests": operator_requests,
+    "store_answer_without_end": store_answer_without_end,
     "rows_without_end": rows_without_end,
 }
 
--- a/tests/e2e/standin.py
+++ b/tests/e2e/standin.py
@@ -69,7 +69,7 @@
         self.rows = {}  # (table, key) -> (value bytes, ver)
         self.changes = []  # (ver, table, key, value or None)
         self.ver = 0
-        self.mode = "ok"  # ok, busy, lost
+        self.mode = "ok"  # ok, busy, lost, endless
         self.groups = {}
         self.token = {}
         self.changed = asyncio.Event()
@@ -101,6 +101,13 @@
                     line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
                 )
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                if self.mode == "endless":
+                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 1000000000000\r\n\r\n")
+                    while self.mode == "endless":
+                        writer.write(b"x" * 65536)
+                        await writer.drain()
+                    writer.transport.abort()
+                    return
                 status, answer = await self._answer(method, target, headers, body)
                 if status is None:
                     writer.transport.abort()
