Bound operators' requests and the store's answers

Cause: requests that are pipelined to the ports for probes and metrics were buffered without limit, their responses up to 4 MiB for each of any number of connections; an answer of the store was received whatever its length.

--- a/tests/auto/platform/tst_platformdecoding.cpp
+++ b/tests/auto/platform/tst_platformdecoding.cpp
@@ -79,6 +79,8 @@
   REQUIRE(ValueOf(absent).mClientLimits.mUnreadAnswersBytes == 4194304);
   REQUIRE(ValueOf(absent).mClientLimits.mAnswer.mBytes == 4194304);
   REQUIRE(ValueOf(absent).mClientLimits.mAnswer.mRows == 131072);
+  REQUIRE(ValueOf(absent).mClientLimits.mOperatorConnections == 50);
+  REQUIRE(ValueOf(absent).mClientLimits.mStoreAnswerBytes == 8388608);
   const auto with = [](const std::string& aLimits) {
     return ParseSettings(
       Replaced(kSettings, "\"node\"", "\"clientLimits\": {" + aLimits + "}, \"node\""));
@@ -87,7 +89,8 @@
     R"("memoryShare": 0.25, "connections": 50, "queuedStatements": 3, "queuedBytes": 10,
        "unreadBytes": 20, "sessionBytes": 30, "startTimeoutMs": 40, "messageTimeoutMs": 50,
        "answerTimeoutMs": 60, "linkTimeoutMs": 70, "peerMessageTimeoutMs": 80,
-       "unreadAnswersBytes": 2097152, "answerBytes": 1048576, "answerRows": 90)");
+       "unreadAnswersBytes": 2097152, "answerBytes": 1048576, "answerRows": 90,
+       "operatorConnections": 3, "storeAnswerBytes": 2000000)");
   REQUIRE(IsOk(changed));
   const ClientLimits limits = LimitsOf(ValueOf(changed));
   REQUIRE(AccountLimit(ValueOf(changed)) == 65U << 20U);
@@ -104,6 +107,8 @@
   REQUIRE(limits.mUnreadAnswersBytes == 2097152);
   REQUIRE(limits.mAnswer.mBytes == 1048576);
   REQUIRE(limits.mAnswer.mRows == 90);
+  REQUIRE(limits.mOperatorConnections == 3);
+  REQUIRE(limits.mStoreAnswerBytes == 2000000);
   // More connections than the descriptors allow are not accepted.
   REQUIRE(LimitsOf(ValueOf(with(R"("connections": 100000)"))).mConnections == 3900);
   for (const char* invalid : { R"("memoryShare": 0)",
@@ -115,6 +120,8 @@
                                R"("unreadAnswersBytes": 2097151)",
                                R"("answerBytes": 1048575)",
                                R"("answerRows": 0)",
+                               R"("operatorConnections": 1)",
+                               R"("storeAnswerBytes": 1048575)",
                                R"("answerTimeoutMs": 1e15)" }) {
     INFO(invalid);
     const auto refused = with(invalid);
--- a/tests/auto/proxy/tst_forwardinglimits.cpp
+++ b/tests/auto/proxy/tst_forwardinglimits.cpp
@@ -112,7 +112,8 @@
   REQUIRE(instances.mHome.RefuseLargestUnfinished() == 0);
 
   instances.Forward(2, kLongStatementBytes);
-  REQUIRE(instances.RunUntil([&] { return instances.mHome.LargestUnfinishedBytes() > 0; }));
+  REQUIRE(
+    instances.RunUntil([&] { return instances.mHome.LargestUnfinishedBytes() > 0; }));
   REQUIRE(instances.mHome.RefuseLargestUnfinished() > 0);
   REQUIRE(instances.mHome.LargestUnfinishedBytes() == 0);
   instances.Forward(3, kLongStatementBytes);
@@ -127,7 +128,8 @@
 {
   TwoInstances instances;
   instances.Forward(1, kLongStatementBytes);
-  REQUIRE(instances.RunUntil([&] { return instances.mHome.LargestUnfinishedBytes() > 0; }));
+  REQUIRE(
+    instances.RunUntil([&] { return instances.mHome.LargestUnfinishedBytes() > 0; }));
   const TimePoint now = EventLoop::Now();
   REQUIRE(instances.mHome.RefuseOverdue(10s, now) == 0);
   REQUIRE(instances.mHome.RefuseOverdue(10s, now + 9s) == 0);
@@ -151,8 +153,8 @@
   REQUIRE(fixture.mEndedTransactions == 0);
 }
 
-// Guards against a transaction that stays open at its home, and may be committed, after its
-// client was told that it is aborted.
+// Guards against a transaction that stays open at its home, and may be committed, after
+// its client was told that it is aborted.
 TEST_CASE("a refused statement of a transaction aborts it at its home")
 {
   for (const StatementKind kind : { StatementKind::Write, StatementKind::Commit }) {
