--- a/tests/e2e/platform_misuse_peers.py
+++ b/tests/e2e/platform_misuse_peers.py
@@ -13,8 +13,8 @@
 import sys
 
 from harness import System
-from platform_misuse import (CLIENT_LIMITS, DESCRIPTORS, LARGE, MEMORY_MB, TENANTS, RawClient,
-                             check, is_served, until_idle)
+from platform_misuse import (CLIENT_LIMITS, DESCRIPTORS, LARGE, LEGAL_SESSIONS, MEMORY_MB,
+                             SMALL_SITE_MB, TENANTS, RawClient, check, is_served, until_idle)
 from standin import HOST
 
 LINKS = 12
@@ -202,6 +202,19 @@
     return clients
 
 
+async def legal_transactions(system):
+    """All sessions of a small site send long statements inside transactions at the same time.
+    Guards against limits that close or don't answer clients inside them."""
+    clients = await open_transactions(system, LEGAL_SESSIONS)
+    for statement in range(2):
+        for number, client in enumerate(clients):
+            text = b"QUERY l%d_%d WRITE item%d " % (number, statement, number) + LARGE + b"\r\n"
+            asyncio.create_task(client.send(text))
+        for client in clients:
+            await answer_of(client)
+    return clients
+
+
 async def rows_without_end(system):
     system.group.endless_item = "endless"
     clients = [await RawClient(system.instances[0]).open() for _ in range(READERS)]
@@ -240,6 +253,7 @@
     "statements_in_transactions": statements_in_transactions,
     "statements_in_forwarded_transactions": statements_in_forwarded_transactions,
     "values_in_forwarded_transactions": values_in_forwarded_transactions,
+    "legal_transactions": legal_transactions,
     "operator_requests": operator_requests,
     "store_answer_without_end": store_answer_without_end,
     "rows_without_end": rows_without_end,
@@ -248,8 +262,10 @@
 
 async def run(binary, scenario):
     is_forwarded = scenario.endswith("_in_forwarded_transactions")
+    is_legal = scenario == "legal_transactions"
+    memory_mb = SMALL_SITE_MB if is_legal else MEMORY_MB
     async with System(binary, instances=2 if is_forwarded else 1, descriptors=DESCRIPTORS,
-                      memory_mb=MEMORY_MB, client_limits=CLIENT_LIMITS,
+                      memory_mb=memory_mb, client_limits=None if is_legal else CLIENT_LIMITS,
                       tenants=TENANTS if is_forwarded else None,
                       connections=CONNECTIONS_PER_MEMBER,
                       idle_ms=IDLE_MS) as system:
@@ -264,7 +280,7 @@
                 await system.until(lambda: is_served(instance, "WRITE ordinary data"), 20,
                                    "an ordinary request is answered")
             finally:
-                check(instance, MEMORY_MB, DESCRIPTORS)
+                check(instance, memory_mb, DESCRIPTORS)
         for member in crowd:
             member.close()
 
