Stop limiters that are cut off before their successors begin

Change: IsolationWatch decides from the confirmed writes of the own row and from answers of other instances whether a successor may be granting. If a row may have been dropped and instances in half of the zones or more have been silent for 5 s, the limiter grants nothing until contact has returned for 11 s. An outage of the store for all stops no limiter, because the other instances still answer; silent zones are pinged every 0.8 s.

Open: a limiter for which only the store is out of reach goes on after the others have dropped it.

--- a/src/libs/proxy/customers/limitertable.cpp
+++ b/src/libs/proxy/customers/limitertable.cpp
@@ -1,5 +1,7 @@
 #include "proxy/customers/limitertable.h"
 
+#include "proxy/customers/limitertimes.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -8,11 +10,6 @@
 
 namespace {
 
-// Bounds the time between the first and the last instance that uses a new list: the
-// interval at which up to 100 instances read it, and a margin for slow answers of the
-// store. A longer wait would refuse all customers after the first start of a deployment.
-constexpr Duration kListSpread = std::chrono::seconds(11);
-
 // With six limiters in up to four zones, the loss of a zone leaves at least two thirds of
 // a limit, and usual loads are below that.
 constexpr std::size_t kLimitersPerCustomer = 6;
@@ -44,6 +41,7 @@
   , mZone(std::move(aZone))
   , mStartedAt(aStartedAt)
   , mActiveAt(aStartedAt)
+  , mIsolation(mInstance, mZone, aStartedAt)
 {
 }
 
@@ -62,6 +60,7 @@
                            TimePoint aNow)
 {
   mStart = aStart;
+  mIsolation.SetInstances(aInstances, aNow);
   mListings.emplace_back(aNow, mInstance, mZone);
   // A limiter's work is small, so it is spread more evenly than that of homes: the loss
   // of a few large machines must not take all limiters of many customers.
@@ -110,7 +109,7 @@
 {
   const std::string key = RankingKey(aCustomer);
   const bool hasJustResumed = mResumedAt && aNow - *mResumedAt < kListSpread;
-  if (mListings.empty() || hasJustResumed) {
+  if (mListings.empty() || hasJustResumed || mIsolation.MayBeReplaced(aNow)) {
     return std::nullopt;
   }
   TimePoint since;
--- a/src/libs/proxy/customers/limitertable.h
+++ b/src/libs/proxy/customers/limitertable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/customers/isolationwatch.h"
 #include "proxy/hometable.h"
 
 #include <cstdint>
@@ -41,6 +42,22 @@
   /** Detects that the process was suspended for so long that the other instances may have
    * replaced it as a limiter; called often, and before InChargeSince. */
   void OnActivity(TimePoint aNow);
+  /** Handles the state of this instance's row; called often, also if it has not changed.
+   */
+  void OnOwnRow(const ConfirmedRow& aRow, TimePoint aNow)
+  {
+    mIsolation.OnOwnRow(aRow, aNow);
+  }
+  /** Handles that another instance has answered any message. */
+  void OnPeerAnswered(std::string_view aInstance, TimePoint aNow)
+  {
+    mIsolation.OnPeerAnswered(aInstance, aNow);
+  }
+  /** @return instances to ping; their answers show that this instance is not isolated */
+  std::vector<std::string> PeersToPing(TimePoint aNow)
+  {
+    return mIsolation.PeersToPing(aNow);
+  }
 
   /** @return the customer's limiters, those of this instance's availability zone first
    * and those that were lost lately last */
@@ -81,6 +98,7 @@
   TimePoint mActiveAt;
   /** When the process woke from its last long suspension. */
   std::optional<TimePoint> mResumedAt;
+  IsolationWatch mIsolation;
   /** The current list is the last one; earlier ones are kept while other instances may
    * still use them. */
   std::deque<Listing> mListings;
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -114,6 +114,7 @@
   , mStore(std::move(aStore))
   , mNow(std::move(aNow))
   , mHook(std::move(aHook))
+  , mConfirmedAt(mNow())
 {
 }
 
@@ -126,6 +127,15 @@
   }
 }
 
+ConfirmedRow
+InstanceRegistry::OwnRow() const
+{
+  // Other instances may not have received all rows yet, and then use the lifetime of a
+  // smaller deployment.
+  const std::size_t rows = mKnownRows.size();
+  return { mConfirmedAt, RowLifetimeFor(rows - rows / 4), HeartbeatIntervalFor(rows) };
+}
+
 void
 InstanceRegistry::OnTimer(TimePoint aNow)
 {
@@ -210,9 +220,10 @@
   row.mValue = EncodeInstance(mSelf, mHeartbeatCount, mStoreTimeMs);
   row.mRevision = mOwnRevision;
   // The next heartbeat repeats a write that was lost.
-  mStore.mWrite({ row }, [this](const WriteResult& aResult) {
+  mStore.mWrite({ row }, [this, sentAt = mWrittenAt](const WriteResult& aResult) {
     if (const auto* written = std::get_if<Written>(&aResult)) {
       mOwnRevision = written->mRevision;
+      mConfirmedAt = std::max(mConfirmedAt, sentAt);
     }
   });
 }
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -16,6 +16,19 @@
 /** Table of the shared store with one row for each instance. */
 inline constexpr std::string_view kInstanceTable = "papayaspindle-instances";
 
+/** What the other instances have received of an instance's row at least. */
+struct ConfirmedRow
+{
+  /** When the last write that the store confirmed was sent; the start of the process
+   * before the first. */
+  TimePoint mWrittenAt;
+  /** Time after which the other instances drop a row that doesn't change, at the
+   * earliest. */
+  Duration mLifetime{};
+  /** Interval at which the other instances read the rows, at most. */
+  Duration mReadInterval{};
+};
+
 /**
  * Discovers the other instances through the shared store.
  *
@@ -41,6 +54,8 @@
    * process so lately that the other instances have not dropped it since */
   [[nodiscard]] bool WasListedBefore() const { return mWasListedBefore; }
 
+  [[nodiscard]] ConfirmedRow OwnRow() const;
+
   void OnTimer(TimePoint aNow);
   /** @return when OnTimer is due */
   [[nodiscard]] TimePoint NextTimer() const { return mNextHeartbeatAt; }
@@ -65,6 +80,7 @@
   std::map<std::string, KnownRow> mKnownRows;
   std::uint64_t mOwnRevision = 0;
   TimePoint mWrittenAt;
+  TimePoint mConfirmedAt;
   /** Time of the store's clock at the last read; 0 if it is unknown. */
   std::uint64_t mStoreTimeMs = 0;
   std::uint64_t mHeartbeatCount = 0;
