Read the list of instances every 10 s in large deployments

Change: above 12 instances the list is read every 10 s at any size, and every 2 s in the first 10 s of a process. An answer of a reader carries its age, by which the next read follows just after the reader's own; the reader keeps the history of its copy, so that it answers with changed rows only. The own row is written every 0.1 s x instances as before, and rows expire by that interval. New limiters of such deployments grant after 13 s (10 s and 3 s for slow answers of the store), counted from the write of their row if that is later. bootstrap needs no rule of its own.

--- a/src/libs/proxy/customers/isolationwatch.cpp
+++ b/src/libs/proxy/customers/isolationwatch.cpp
@@ -14,10 +14,6 @@
 constexpr Duration kMaxSilence = std::chrono::seconds(5);
 constexpr Duration kPingInterval = std::chrono::milliseconds(800);
 
-// Until another instance lists a rewritten row, its next read and a slow answer of the
-// store pass.
-constexpr Duration kSlowAnswer = std::chrono::seconds(3);
-
 // Time for which this instance counts as isolated if its row was never written.
 constexpr Duration kInitialTrust = std::chrono::seconds(10);
 
@@ -120,22 +116,25 @@
     mRejoinedAt = aNow;
   }
   mRowWrittenAt = aRow.mWrittenAt;
+  // Until the others list a rewritten row, their next read and a slow answer of the store
+  // pass.
+  mListSpread = ListSpreadFor(aRow.mReadInterval);
   mRowTrustedUntil =
-    aRow.mWrittenAt + aRow.mLifetime + kListSpread - aRow.mReadInterval - kSlowAnswer;
+    aRow.mWrittenAt + aRow.mLifetime + mListSpread - aRow.mReadInterval - kSlowListAnswer;
 }
 
 bool
 IsolationWatch::LacksContact(TimePoint aNow) const
 {
   const bool isSilent = aNow - LastContact(aNow) > kMaxSilence;
-  const bool wasSilent = mContactRestoredAt && aNow - *mContactRestoredAt < kListSpread;
+  const bool wasSilent = mContactRestoredAt && aNow - *mContactRestoredAt < mListSpread;
   return aNow >= mRowTrustedUntil && (isSilent || wasSilent);
 }
 
 bool
 IsolationWatch::MayBeReplaced(TimePoint aNow) const
 {
-  return LacksContact(aNow) || (mRejoinedAt && aNow - *mRejoinedAt < kListSpread);
+  return LacksContact(aNow) || (mRejoinedAt && aNow - *mRejoinedAt < mListSpread);
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/customers/isolationwatch.h
+++ b/src/libs/proxy/customers/isolationwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timetypes.h"
+#include "proxy/customers/limitertimes.h"
 #include "proxy/hometable.h"
 #include "proxy/instanceregistry.h"
 
@@ -65,6 +66,7 @@
   std::map<std::string, std::string, std::less<>> mZoneOf;
   /** When contact with the other instances was last restored after a long silence. */
   std::optional<TimePoint> mContactRestoredAt;
+  Duration mListSpread = kMinListSpread;
   /** Until when a rewritten row keeps the successor from granting. */
   TimePoint mRowTrustedUntil;
   TimePoint mRowWrittenAt;
--- a/src/libs/proxy/customers/limitertable.cpp
+++ b/src/libs/proxy/customers/limitertable.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t kLimitersPerCustomer = 6;
 
 // A suspended instance expires from the list after 9.6 s at the earliest, and its
-// successor grants 11 s later. Its last heartbeat may be some seconds old when the
-// suspension begins.
+// successor grants 11 s later at the earliest. Its last heartbeat may be some seconds old
+// when the suspension begins.
 constexpr Duration kMaxSuspension = std::chrono::seconds(10);
 
 /** @return key of the customer in the ranking of instances; differs from any group's */
@@ -54,6 +54,16 @@
   mActiveAt = std::max(mActiveAt, aNow);
 }
 
+void
+LimiterTable::OnOwnRow(const ConfirmedRow& aRow, TimePoint aNow)
+{
+  mIsolation.OnOwnRow(aRow, aNow);
+  mListSpread = ListSpreadFor(aRow.mReadInterval);
+  if (!mFirstWrittenAt && aRow.mWrittenAt > mStartedAt) {
+    mFirstWrittenAt = aRow.mWrittenAt;
+  }
+}
+
 void
 LimiterTable::SetInstances(std::span<const RegisteredInstance> aInstances,
                            StartKind aStart,
@@ -70,7 +80,7 @@
   }
   mListings.back().mRanking.SetInstances(instances);
   // A list is replaced when its successor takes effect.
-  while (mListings.size() > 1 && mListings[1].mSince + kListSpread <= aNow) {
+  while (mListings.size() > 1 && mListings[1].mSince + mListSpread <= aNow) {
     mListings.pop_front();
   }
 }
@@ -101,14 +111,14 @@
 LimiterTable::IsOutOfUse(std::size_t aListing, TimePoint aNow) const
 {
   return aListing + 1 < mListings.size() &&
-         mListings[aListing + 1].mSince + kListSpread <= aNow;
+         mListings[aListing + 1].mSince + mListSpread <= aNow;
 }
 
 std::optional<TimePoint>
 LimiterTable::InChargeSince(std::string_view aCustomer, TimePoint aNow) const
 {
   const std::string key = RankingKey(aCustomer);
-  const bool hasJustResumed = mResumedAt && aNow - *mResumedAt < kListSpread;
+  const bool hasJustResumed = mResumedAt && aNow - *mResumedAt < mListSpread;
   if (mListings.empty() || hasJustResumed || mIsolation.MayBeReplaced(aNow)) {
     return std::nullopt;
   }
@@ -125,7 +135,10 @@
   if (mStart == StartKind::Restart) {
     return mStartedAt;
   }
-  return aNow - since >= kListSpread ? std::optional(since) : std::nullopt;
+  // Without its row, the others can't list this instance.
+  const bool isListed =
+    mFirstWrittenAt && aNow - std::max(since, *mFirstWrittenAt) >= mListSpread;
+  return isListed ? std::optional(since) : std::nullopt;
 }
 
 void
--- a/src/libs/proxy/customers/limitertable.h
+++ b/src/libs/proxy/customers/limitertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/customers/isolationwatch.h"
+#include "proxy/customers/limitertimes.h"
 #include "proxy/hometable.h"
 
 #include <cstdint>
@@ -44,10 +45,7 @@
   void OnActivity(TimePoint aNow);
   /** Handles the state of this instance's row; called often, also if it has not changed.
    */
-  void OnOwnRow(const ConfirmedRow& aRow, TimePoint aNow)
-  {
-    mIsolation.OnOwnRow(aRow, aNow);
-  }
+  void OnOwnRow(const ConfirmedRow& aRow, TimePoint aNow);
   /** Handles that another instance has answered any message. */
   void OnPeerAnswered(std::string_view aInstance, TimePoint aNow)
   {
@@ -99,6 +97,10 @@
   /** When the process woke from its last long suspension. */
   std::optional<TimePoint> mResumedAt;
   IsolationWatch mIsolation;
+  /** When the first row of this process was written; nothing before. */
+  std::optional<TimePoint> mFirstWrittenAt;
+  /** Time after which all instances have replaced a list. */
+  Duration mListSpread = kMinListSpread;
   /** The current list is the last one; earlier ones are kept while other instances may
    * still use them. */
   std::deque<Listing> mListings;
--- a/src/libs/proxy/customers/limitertimes.h
+++ b/src/libs/proxy/customers/limitertimes.h
@@ -2,14 +2,25 @@
 
 #include "core/timetypes.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace papayaspindle::proxy {
 
-/** Bounds the time between the first and the last instance that uses a new list of
- * instances: the interval at which up to 100 instances read it, and a margin for slow
- * answers of the store. A longer wait would refuse all customers after the first start of
- * a deployment. */
-constexpr Duration kListSpread = std::chrono::seconds(11);
+/** Longest answer of a store that is slow, and the delay of a relayed list. */
+constexpr Duration kSlowListAnswer = std::chrono::seconds(3);
+/** Covers several lost reads of a small deployment, which reads every 3 s. */
+constexpr Duration kMinListSpread = std::chrono::seconds(11);
+
+/** @return bound of the time between the first and the last instance that uses a new list
+ * of instances. Customers are refused for this time after the first start of a
+ * deployment.
+ *
+ * @param aReadInterval interval at which instances read the list */
+constexpr Duration
+ListSpreadFor(Duration aReadInterval)
+{
+  return std::max(kMinListSpread, aReadInterval + kSlowListAnswer);
+}
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -1,6 +1,7 @@
 #include "proxy/instanceregistry.h"
 
 #include "core/numericaddress.h"
+#include "core/stablehash.h"
 
 #include <fmt/format.h>
 
@@ -24,13 +25,21 @@
 // Up to this number of instances, the short heartbeat interval is affordable.
 constexpr std::size_t kManyInstances = 12;
 constexpr Duration kMinLargeHeartbeatInterval = std::chrono::seconds(10);
-// Every instance reads all rows in each heartbeat. An interval that grows with the number
-// of instances keeps the read rate constant: 10 rows (about 2 KB) per second and
-// instance.
+// An interval that grows with the number of instances bounds the writes of all of them
+// to 10 rows per second.
 constexpr Duration kHeartbeatIntervalPerInstance = std::chrono::milliseconds(100);
-// In large deployments, an instance reads all rows twice after its start: most rows are
-// written before the first read, the rest before the second.
-constexpr Duration kSecondReadDelay = std::chrono::milliseconds(1500);
+// Interval of the reads in a large deployment of any size: new limiters grant when the
+// others have replaced their lists (ListSpreadFor).
+constexpr Duration kLargeReadInterval = std::chrono::seconds(10);
+// Interval of the first reads in a large deployment. When all instances start at the same
+// time, their lists are complete before the first limiters grant after 13 s.
+constexpr Duration kInitialLargeReadInterval = std::chrono::seconds(2);
+constexpr std::size_t kInitialLargeReads = 5;
+// The instances of a zone query their reader at different times after its read.
+constexpr Duration kMinDelayAfterReader = std::chrono::milliseconds(100);
+constexpr Duration kMaxDelayAfterReader = std::chrono::milliseconds(400);
+// A reader whose own read is slow is queried again after this time.
+constexpr Duration kMinReadPause = std::chrono::milliseconds(250);
 // The weight of an instance is the square of its processor share.
 constexpr double kMaxWeight = 1e8;
 // A row expires after three heartbeat intervals of its writer plus a margin.
@@ -46,6 +55,13 @@
            : kHeartbeatInterval;
 }
 
+/** @return interval of the reads for the given number of instances */
+Duration
+ReadIntervalFor(std::size_t aInstances)
+{
+  return aInstances > kManyInstances ? kLargeReadInterval : kHeartbeatInterval;
+}
+
 std::string
 EncodeInstance(const RegisteredInstance& aInstance,
                std::uint64_t aHeartbeat,
@@ -133,31 +149,55 @@
   // Other instances may not have received all rows yet, and then use the lifetime of a
   // smaller deployment.
   const std::size_t rows = mKnownRows.size();
-  return { mConfirmedAt, RowLifetimeFor(rows - rows / 4), HeartbeatIntervalFor(rows) };
+  return { mConfirmedAt, RowLifetimeFor(rows - rows / 4), ReadIntervalFor(rows) };
 }
 
 void
 InstanceRegistry::OnTimer(TimePoint aNow)
 {
-  if (aNow < mNextHeartbeatAt) {
+  if (aNow < mNextReadAt) {
     return;
   }
   mHeartbeatCount++;
-  mNextHeartbeatAt = aNow + NextHeartbeatPause();
+  mNextReadAt = aNow + NextReadPause();
   mStore.mRead(kInstanceTable, [this](const ReadResult& aResult) { OnRead(aResult); });
 }
 
 Duration
-InstanceRegistry::NextHeartbeatPause()
+InstanceRegistry::NextReadPause()
 {
   if (mKnownRows.size() <= kManyInstances) {
     return mHeartbeatCount <= kInitialHeartbeatCount ? kInitialHeartbeatInterval
                                                      : kHeartbeatInterval;
   }
-  if (!std::exchange(mHasReadMany, true)) {
-    return kSecondReadDelay;
-  }
-  return HeartbeatIntervalFor(mKnownRows.size());
+  mReadsOfMany++;
+  return mReadsOfMany <= kInitialLargeReads ? kInitialLargeReadInterval
+                                            : kLargeReadInterval;
+}
+
+void
+InstanceRegistry::AlignWithReader(Duration aAge, TimePoint aNow)
+{
+  // A read at any time would find rows that are up to one interval old, and another
+  // interval would pass until they are replaced.
+  const auto spread = static_cast<std::uint64_t>(
+    (kMaxDelayAfterReader - kMinDelayAfterReader) / std::chrono::milliseconds(1));
+  const Duration delay =
+    kMinDelayAfterReader +
+    std::chrono::milliseconds(StableHash({ mSelf.mInstance, "read" }) % spread);
+  const TimePoint next =
+    aNow + std::max(kLargeReadInterval - aAge + delay, kMinReadPause);
+  mNextReadAt = std::min(mNextReadAt, next);
+}
+
+std::uint64_t
+InstanceRegistry::StoreTimeMs(TimePoint aNow) const
+{
+  const Duration elapsed = aNow - mStoreTimeReadAt;
+  return mStoreTimeMs == 0
+           ? 0
+           : mStoreTimeMs +
+               static_cast<std::uint64_t>(elapsed / std::chrono::milliseconds(1));
 }
 
 void
@@ -169,7 +209,13 @@
     return;
   }
   const TimePoint now = mNow();
-  mStoreTimeMs = snapshot->mStoreTimeMs;
+  if (snapshot->mStoreTimeMs != 0) {
+    mStoreTimeMs = snapshot->mStoreTimeMs;
+    mStoreTimeReadAt = now;
+  }
+  if (snapshot->mAge > Duration()) {
+    AlignWithReader(snapshot->mAge, now);
+  }
   for (const StoredRow& row : snapshot->mRows) {
     if (row.mKey == mSelf.mInstance) {
       mWasListedBefore =
@@ -201,10 +247,11 @@
     mHasReported = true;
     mHook(live);
   }
-  // The first reads after a start follow each other in less than a heartbeat interval and
-  // don't need a write each.
-  const bool isDue =
-    mOwnRevision == 0 || now - mWrittenAt >= HeartbeatIntervalFor(mKnownRows.size()) / 2;
+  // Reads that follow each other in less than a heartbeat interval don't need a write
+  // each.
+  const std::size_t rows = mKnownRows.size();
+  const bool isDue = mOwnRevision == 0 || now - mWrittenAt >= HeartbeatIntervalFor(rows) -
+                                                                ReadIntervalFor(rows) / 2;
   if (isDue) {
     WriteRow();
   }
@@ -217,7 +264,7 @@
   StoredRow row;
   row.mTable = kInstanceTable;
   row.mKey = mSelf.mInstance;
-  row.mValue = EncodeInstance(mSelf, mHeartbeatCount, mStoreTimeMs);
+  row.mValue = EncodeInstance(mSelf, mHeartbeatCount, StoreTimeMs(mWrittenAt));
   row.mRevision = mOwnRevision;
   // The next heartbeat repeats a write that was lost.
   mStore.mWrite({ row }, [this, sentAt = mWrittenAt](const WriteResult& aResult) {
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -32,9 +32,10 @@
 /**
  * Discovers the other instances through the shared store.
  *
- * Each instance periodically rewrites its own row as a heartbeat and reads all rows. An
- * instance is live as long as its row changes. While the store is unavailable, the last
- * known list stays in effect.
+ * Each instance periodically rewrites its own row as a heartbeat and reads all rows. In
+ * large deployments it reads more often than it writes, because reads go through a reader
+ * of the zone. An instance is live as long as its row changes. While the store is
+ * unavailable, the last known list stays in effect.
  */
 class InstanceRegistry
 {
@@ -58,7 +59,7 @@
 
   void OnTimer(TimePoint aNow);
   /** @return when OnTimer is due */
-  [[nodiscard]] TimePoint NextTimer() const { return mNextHeartbeatAt; }
+  [[nodiscard]] TimePoint NextTimer() const { return mNextReadAt; }
 
 private:
   struct KnownRow
@@ -69,8 +70,14 @@
   };
 
   void WriteRow();
-  /** @return time until the next heartbeat */
-  [[nodiscard]] Duration NextHeartbeatPause();
+  /** @return time until the next read */
+  [[nodiscard]] Duration NextReadPause();
+  /** Moves the next read behind the next read of the instance that has relayed the rows.
+   *
+   * @param aAge time since that instance has read them */
+  void AlignWithReader(Duration aAge, TimePoint aNow);
+  /** @return present time of the store's clock in milliseconds; 0 if it is unknown */
+  [[nodiscard]] std::uint64_t StoreTimeMs(TimePoint aNow) const;
   void OnRead(const ReadResult& aResult);
 
   RegisteredInstance mSelf;
@@ -81,16 +88,17 @@
   std::uint64_t mOwnRevision = 0;
   TimePoint mWrittenAt;
   TimePoint mConfirmedAt;
-  /** Time of the store's clock at the last read; 0 if it is unknown. */
+  /** Time of the store's clock at the last read that reported it; 0 before. */
   std::uint64_t mStoreTimeMs = 0;
+  TimePoint mStoreTimeReadAt;
   std::uint64_t mHeartbeatCount = 0;
   /** Last list of instances passed to the hook, in encoded form. */
   std::string mReportedInstances;
   bool mHasReported = false;
   bool mWasListedBefore = false;
-  /** Whether a read has returned more than kManyInstances rows. */
-  bool mHasReadMany = false;
-  TimePoint mNextHeartbeatAt;
+  /** Number of reads since one has returned more than kManyInstances rows. */
+  std::size_t mReadsOfMany = 0;
+  TimePoint mNextReadAt;
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/rowstore.h
+++ b/src/libs/proxy/rowstore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/timetypes.h"
+
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -27,6 +29,9 @@
   std::uint64_t mRevision = 0;
   /** Time of the store's steady clock, in milliseconds. */
   std::uint64_t mStoreTimeMs = 0;
+  /** Time since another instance has read the rows from the store; 0 if they were read
+   * directly. */
+  Duration mAge{};
 };
 
 /** Reason why a call to the store has no result. */
--- a/src/libs/proxy/tables/snapshotreader.cpp
+++ b/src/libs/proxy/tables/snapshotreader.cpp
@@ -1,5 +1,8 @@
 #include "proxy/tables/snapshotreader.h"
 
+#include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace papayaspindle::proxy {
@@ -9,8 +12,8 @@
 // Instances of the same zone answer within milliseconds.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(500);
 // An older answer comes from a reader that was suspended and may list instances that have
-// left. Above the heartbeat interval of several hundred instances (30 s).
-constexpr Duration kMaxAnswerAge = std::chrono::seconds(60);
+// left. The interval at which readers read the store (10 s) and a slow answer to them.
+constexpr Duration kMaxAnswerAge = std::chrono::seconds(15);
 
 } // namespace
 
@@ -53,7 +56,7 @@
       }
       mReadAsOf.reset();
       mCopy.ApplyAnswer(*aAnswer);
-      aHook(Snapshot());
+      aHook(Snapshot(aAnswer->mAge));
     });
 }
 
@@ -62,7 +65,7 @@
 {
   mHooks.mRead(aNow, [this, aNow, aHook](const ReadResult& aResult) {
     if (const auto* snapshot = std::get_if<TableSnapshot>(&aResult)) {
-      mCopy.Replace(snapshot->mRows, snapshot->mRevision);
+      UpdateCopy(*snapshot);
       mReadAsOf = aNow;
     } else {
       mReadAsOf.reset();
@@ -71,11 +74,42 @@
   });
 }
 
+void
+SnapshotReader::UpdateCopy(const TableSnapshot& aSnapshot)
+{
+  // A replaced copy has no history, and would be relayed with all rows after each read.
+  std::vector<ChangedRow> changes;
+  std::set<std::string_view> keys;
+  for (const StoredRow& row : aSnapshot.mRows) {
+    keys.insert(row.mKey);
+    const auto known = mCopy.Rows().find(row.mKey);
+    if (known == mCopy.Rows().end() || known->second.mRevision != row.mRevision) {
+      changes.push_back({ row, false });
+    }
+  }
+  for (const auto& [key, row] : mCopy.Rows()) {
+    if (!keys.contains(key)) {
+      changes.push_back({ row, true });
+      changes.back().mRow.mRevision = aSnapshot.mRevision;
+    }
+  }
+  const bool isOlderThanCopy =
+    std::any_of(changes.begin(), changes.end(), [&](const ChangedRow& aChange) {
+      return aChange.mRow.mRevision <= mCopy.Revision();
+    });
+  if (mCopy.Revision() == 0 || isOlderThanCopy) {
+    mCopy.Replace(aSnapshot.mRows, aSnapshot.mRevision);
+  } else {
+    mCopy.Apply(changes, aSnapshot.mRevision);
+  }
+}
+
 ReadResult
-SnapshotReader::Snapshot() const
+SnapshotReader::Snapshot(Duration aAge) const
 {
   TableSnapshot snapshot;
   snapshot.mRevision = mCopy.Revision();
+  snapshot.mAge = aAge;
   for (const auto& [key, row] : mCopy.Rows()) {
     snapshot.mRows.push_back(row);
   }
--- a/src/libs/proxy/tables/snapshotreader.h
+++ b/src/libs/proxy/tables/snapshotreader.h
@@ -44,7 +44,9 @@
                    TimePoint aNow,
                    const ResultHook& aHook);
   void ReadStore(TimePoint aNow, const ResultHook& aHook);
-  [[nodiscard]] ReadResult Snapshot() const;
+  /** Replaces the rows of the copy and keeps what has changed in them. */
+  void UpdateCopy(const TableSnapshot& aSnapshot);
+  [[nodiscard]] ReadResult Snapshot(Duration aAge) const;
 
   std::string mTable;
   SnapshotReaderHooks mHooks;
--- /dev/null
+++ b/tests/auto/proxy/tst_largedeployment.cpp
@@ -0,0 +1,119 @@
+// Rate limits in deployments of more than 100 instances, which read the list of instances
+// through the readers of their zone. They guard against a customer over its limit that
+// exceeds it after a change of the instances, because some instances use older lists.
+
+#include "rateexcess.h"
+
+#include <catch2/catch.hpp>
+
+using namespace papayaspindle;
+using namespace papayaspindle::proxy;
+
+namespace {
+
+/** A deployment with a customer far over its limit and one below. */
+class LargeDeployment
+{
+public:
+  LargeDeployment(std::uint64_t aSeed, std::uint32_t aInstances)
+    : mSimulation(aSeed)
+  {
+    AddCustomer("over", { 100, 50 }, 800);
+    AddCustomer("below", { 64, 0 }, 40);
+    for (; mCount < aInstances; mCount++) {
+      // All instances start within a second, in no order.
+      const std::string name = "i" + std::to_string(mCount);
+      const std::string zone = "z" + std::to_string(mCount % 3);
+      mSimulation.Schedule(mSimulation.mNow + mSimulation.mNumbers.Between(0ms, 1s),
+                           [this, name, zone] { mSimulation.Start(name, zone); });
+    }
+  }
+
+  void StartAnother()
+  {
+    mSimulation.Start("i" + std::to_string(mCount), "z" + std::to_string(mCount % 3));
+    mCount++;
+  }
+
+  /** @return names of the limiters of the customer that is over its limit */
+  std::vector<std::string> Limiters()
+  {
+    const std::string any = mSimulation.Running().front();
+    return mSimulation.mInstances.at(any).mLimiters->LimitersOf("over", mSimulation.mNow);
+  }
+
+  double ExcessOf(const std::string& aCustomer)
+  {
+    const RateSimulation::Customer& customer = mSimulation.mCustomers.at(aCustomer);
+    return LargestExcess(customer.mRuns, { { {}, customer.mLimit } }, mSimulation.mWindow)
+      .mOperations;
+  }
+
+  /** @return share of the operations of the customer below its limit that were refused
+   * during the given time */
+  double RefusedShareDuring(Duration aTime)
+  {
+    RateSimulation::Customer& customer = mSimulation.mCustomers.at("below");
+    customer.mStarted = 0;
+    customer.mRefused = 0;
+    customer.mUnavailable = 0;
+    mSimulation.RunFor(aTime);
+    return static_cast<double>(customer.mRefused + customer.mUnavailable) /
+           static_cast<double>(std::max<std::uint64_t>(customer.mStarted, 1));
+  }
+
+  RateSimulation mSimulation;
+
+private:
+  void AddCustomer(const std::string& aName, const RateLimit& aLimit, double aDemand)
+  {
+    RateSimulation::Customer customer;
+    customer.mLimit = aLimit;
+    customer.mDemand = aDemand;
+    mSimulation.mCustomers[aName] = customer;
+  }
+
+  std::uint32_t mCount = 0;
+};
+
+} // namespace
+
+// Guards against lists of different lengths during the first start, and against a wait
+// for which a whole deployment refuses its customers.
+TEST_CASE("after the first start of many instances, customers are served after 14 s")
+{
+  const auto instances = GENERATE(200U, 300U);
+  const std::uint64_t seed = FirstSeed();
+  CAPTURE(instances, seed);
+  LargeDeployment deployment(seed, instances);
+  // 14 s after the last instance has started.
+  deployment.mSimulation.RunFor(15s);
+  CHECK(deployment.RefusedShareDuring(20s) < 0.02);
+  CHECK(deployment.ExcessOf("over") <= 0);
+}
+
+// Guards against limiters that grant their parts while instances with older lists take
+// them from their predecessors.
+TEST_CASE("changes of many instances don't let a customer exceed its limit in a window")
+{
+  const auto instances = GENERATE(200U, 300U);
+  const std::uint64_t seed = FirstSeed();
+  CAPTURE(instances, seed);
+  LargeDeployment deployment(seed, instances);
+  RateSimulation& simulation = deployment.mSimulation;
+  simulation.mLinkFaults = { 10'000, 10'000, 10'000 };
+  simulation.RunFor(25s);
+  // Each limiter announces that it leaves, so that others take over within a read.
+  for (const std::string& limiter : deployment.Limiters()) {
+    simulation.mInstances.at(limiter).mRegistry->Leave();
+    simulation.Schedule(simulation.mNow + 6s,
+                        [&simulation, limiter] { simulation.Kill(limiter); });
+    for (int added = 0; added < 10; added++) {
+      deployment.StartAnother();
+    }
+    simulation.RunFor(simulation.mNumbers.Between(1s, 8s));
+  }
+  simulation.RunFor(20s);
+  CHECK(deployment.ExcessOf("over") <= 0);
+  CHECK(deployment.ExcessOf("below") <= 0);
+}
