Delay operations for tokens in advance instead of refusing them

Cause: while a customer's buckets are empty for a moment, operations are refused although a limiter has a token some milliseconds later.

Change: before a refusal the holder asks the limiter with the next token once more, with the time for which the operations can wait (a quarter of the route's latency objective from the arrival, less 10 ms). The limiter grants tokens in advance that its bucket will hold within that time and 200 ms, and reports when they may be used; the operation waits until then. No token is used before the bucket holds it, so windows are as before. max_wait_us and advanced are added to the messages; instances without them neither grant nor receive tokens in advance.

--- a/src/libs/forwarding/tokencodec.cpp
+++ b/src/libs/forwarding/tokencodec.cpp
@@ -20,6 +20,7 @@
   v1::TokensRequest message;
   message.set_customer(aRequest.mCustomer);
   message.set_count(aRequest.mCount);
+  message.set_max_wait_us(ToMicroseconds(aRequest.mMaxWait));
   return message.SerializeAsString();
 }
 
@@ -31,7 +32,9 @@
       message.count() > kMaxTokens) {
     return std::nullopt;
   }
-  return TokenRequest{ message.customer(), message.count() };
+  return TokenRequest{ message.customer(),
+                       message.count(),
+                       FromMicroseconds(message.max_wait_us(), kMaxReceivedWait) };
 }
 
 std::string
@@ -39,6 +42,7 @@
 {
   v1::TokensReply message;
   message.set_granted(aGrant.mGranted);
+  message.set_advanced(aGrant.mAdvanced);
   message.set_wait_us(
     ToMicroseconds(std::chrono::ceil<std::chrono::microseconds>(aGrant.mWait)));
   return message.SerializeAsString();
@@ -48,11 +52,13 @@
 DecodeTokenGrant(const std::string& aBytes)
 {
   v1::TokensReply message;
-  if (!message.ParseFromString(aBytes) || message.granted() > kMaxTokens) {
+  if (!message.ParseFromString(aBytes) || message.granted() > kMaxTokens ||
+      message.advanced() > kMaxTokens) {
     return std::nullopt;
   }
   return TokenGrant{ message.granted(),
-                     FromMicroseconds(message.wait_us(), kMaxReceivedWait) };
+                     FromMicroseconds(message.wait_us(), kMaxReceivedWait),
+                     message.advanced() };
 }
 
 } // namespace papayaspindle
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -183,7 +183,7 @@
   }
   Operation& operation = found->second;
   if (operation.mStage == OperationStage::AwaitingToken) {
-    FailOperation(aKey, AnswerCode::Busy, "the rate limit was not checked in time", aNow);
+    OnTokenTimer(aKey, operation, aNow);
     return;
   }
   if (operation.mStage == OperationStage::Waiting) {
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -279,6 +279,7 @@
         return std::optional<std::string>("instance-1");
       };
   /** Decision on each operation that needs a token. */
+  Duration mTokenMaxWait{};
   TokenDecision mTokenDecision{ TokenOutcome::Granted, {}, mNow + 300ms };
   std::vector<std::pair<OperationKey, std::string>> mTokenRequests;
   std::vector<TimePoint> mReturnedTokens;
@@ -326,7 +327,11 @@
                                      TimePoint) {
       return mPickCustomerHome(aCustomer, aSpread, aExcluded);
     };
-    hooks.mTakeToken = [this](std::string_view aCustomer, OperationKey aKey, TimePoint) {
+    hooks.mTakeToken = [this](std::string_view aCustomer,
+                              OperationKey aKey,
+                              Duration aMaxWait,
+                              TimePoint) {
+      mTokenMaxWait = aMaxWait;
       mTokenRequests.emplace_back(aKey, aCustomer);
       return mTokenDecision;
     };
--- a/tests/auto/proxy/ratesimulation.h
+++ b/tests/auto/proxy/ratesimulation.h
@@ -269,9 +269,10 @@
   {
     const std::uint64_t operation = mNextOperation++;
     mCustomers.at(aCustomer).mStarted++;
-    mPending[operation] = aCustomer;
+    mPending[operation] = { aCustomer, mNow };
     Instance& instance = mInstances.at(aName);
-    const TokenDecision decision = instance.mHolder->Take(aCustomer, operation, mNow);
+    const TokenDecision decision = instance.mHolder->Take(
+      aCustomer, operation, mNow, mCustomers.at(aCustomer).mMaxWait);
     if (decision.mOutcome != TokenOutcome::Pending) {
       OnDecision(aName, operation, decision);
       return;
@@ -288,17 +289,26 @@
                   std::uint64_t aOperation,
                   const TokenDecision& aDecision)
   {
-    const std::string name = mPending.at(aOperation);
+    const auto [name, startedAt] = mPending.at(aOperation);
     mPending.erase(aOperation);
     Customer& customer = mCustomers.at(name);
     if (aDecision.mOutcome == TokenOutcome::Refused) {
       customer.mRefused++;
+      customer.mLatestRefusal = std::max(customer.mLatestRefusal, mNow - startedAt);
     } else if (aDecision.mOutcome == TokenOutcome::Unavailable) {
       customer.mUnavailable++;
     } else if (mNumbers.Happens(kNotRunPerMillion)) {
-      ScheduleAt(aName, 5ms, [this, aName, name, at = aDecision.mExpiresAt] {
+      const Duration delay = std::max(aDecision.mUsableAt - mNow, Duration()) + 5ms;
+      ScheduleAt(aName, delay, [this, aName, name = name, at = aDecision.mExpiresAt] {
         mInstances.at(aName).mHolder->Return(name, at, mNow);
       });
+    } else if (aDecision.mUsableAt > mNow) {
+      customer.mDelayed++;
+      customer.mLongestWait =
+        std::max(customer.mLongestWait, aDecision.mUsableAt - startedAt);
+      ScheduleAt(aName, aDecision.mUsableAt - mNow, [this, customerName = name] {
+        mCustomers.at(customerName).mRuns.push_back(mNow);
+      });
     } else {
       customer.mRuns.push_back(mNow);
     }
@@ -409,7 +419,8 @@
   std::uint64_t mNextEvent = 0;
   std::uint64_t mNextProcess = 1;
   std::uint64_t mNextOperation = 1;
-  std::map<std::uint64_t, std::string> mPending;
+  /** Customer and start of each operation without a decision. */
+  std::map<std::uint64_t, std::pair<std::string, TimePoint>> mPending;
   SimulatedStore mStore;
   /** Instances that run; empty after a change. */
   mutable std::vector<std::string> mRunning;
--- a/tests/auto/proxy/tst_proxytokens.cpp
+++ b/tests/auto/proxy/tst_proxytokens.cpp
@@ -231,3 +231,47 @@
   REQUIRE(fixture.LastAnswer(1).mError == AnswerCode::Busy);
   REQUIRE(fixture.mReturnedTokens.size() == (wasSent ? 0 : 1));
 }
+
+// Guards against an operation that runs before its token may be used, or waits for longer
+// than a quarter of its latency objective.
+TEST_CASE("an operation waits until its token that was granted in advance may be used")
+{
+  const bool isPending = GENERATE(true, false);
+  CustomerFixture fixture;
+  const TokenDecision granted{
+    TokenOutcome::Granted, {}, fixture.mNow + 300ms, fixture.mNow + 30ms
+  };
+  fixture.mTokenDecision = isPending ? TokenDecision{} : granted;
+  fixture.Open(1, "k1", "main");
+  fixture.SendStatement(1, StatementKind::Write, "item data");
+  REQUIRE(fixture.mTokenMaxWait == 50ms);
+  if (isPending) {
+    fixture.mCore.OnTokenDecision(
+      fixture.mTokenRequests.at(0).first, granted, fixture.mNow);
+  }
+  fixture.ReadyAll();
+  REQUIRE(fixture.SentCount(CommandKind::Write) == 0);
+  fixture.mNow += 29ms;
+  fixture.mCore.OnTimer(fixture.mNow);
+  fixture.ReadyAll();
+  REQUIRE(fixture.SentCount(CommandKind::Write) == 0);
+  fixture.mNow += 1ms;
+  fixture.mCore.OnTimer(fixture.mNow);
+  fixture.ReadyAll();
+  REQUIRE(fixture.SentCount(CommandKind::Write) == 1);
+}
+
+// Guards against an operation that runs for a client that has gone.
+TEST_CASE("an operation whose session ends while its token can't be used yet doesn't run")
+{
+  CustomerFixture fixture;
+  fixture.mTokenDecision = {
+    TokenOutcome::Granted, {}, fixture.mNow + 300ms, fixture.mNow + 30ms
+  };
+  fixture.Open(1, "k1", "main");
+  fixture.SendStatement(1, StatementKind::Write, "item data");
+  fixture.mCore.OnSessionClosed(1, fixture.mNow);
+  WaitLong(fixture);
+  REQUIRE(fixture.SentCount(CommandKind::Write) == 0);
+  REQUIRE(fixture.mReturnedTokens.empty());
+}
--- a/tests/auto/proxy/tst_ratelimitscenarios.cpp
+++ b/tests/auto/proxy/tst_ratelimitscenarios.cpp
@@ -116,3 +116,136 @@
   REQUIRE(counted.mStarted > 4000);
   REQUIRE((counted.mRefused + counted.mUnavailable) * 200 < counted.mStarted);
 }
+
+namespace {
+
+/** Operations of a customer below its limit around a fault. */
+struct Served
+{
+  std::uint64_t mStarted = 0;
+  std::uint64_t mRefused = 0;
+  double mExcess = 0;
+};
+
+/** @return operations in the 2 s after ten restarts of all instances */
+Served
+ServedAfterRestarts(std::uint32_t aInstances, double aPerSecond, Duration aMaxWait)
+{
+  RateSimulation simulation(FirstSeed());
+  RateSimulation::Customer customer;
+  customer.mLimit = { aPerSecond * 1.6, 0 };
+  customer.mDemand = aPerSecond;
+  customer.mMaxWait = aMaxWait;
+  simulation.mCustomers["customer"] = customer;
+  for (std::uint32_t index = 0; index < aInstances; index++) {
+    simulation.Start("i" + std::to_string(index), "z" + std::to_string(index % 3));
+  }
+  simulation.RunFor(25s);
+  RateSimulation::Customer& counted = simulation.mCustomers.at("customer");
+  Served served;
+  for (int round = 0; round < 10; round++) {
+    const std::vector<std::string> names = simulation.Running();
+    for (const std::string& name : names) {
+      simulation.Kill(name);
+    }
+    simulation.RunFor(simulation.mNumbers.Between(600ms, 1400ms));
+    for (const std::string& name : names) {
+      simulation.Start(name, simulation.mInstances.at(name).mZone);
+    }
+    // Clients come back with almost as much load as the limit permits.
+    counted.mDemand = aPerSecond * 1.5;
+    served.mRefused -= counted.mRefused;
+    served.mStarted -= counted.mStarted;
+    simulation.RunFor(300ms);
+    counted.mDemand = aPerSecond;
+    simulation.RunFor(1700ms);
+    served.mRefused += counted.mRefused;
+    served.mStarted += counted.mStarted;
+    simulation.RunFor(20s);
+  }
+  served.mExcess =
+    LargestExcess(counted.mRuns, { { {}, counted.mLimit } }, simulation.mWindow)
+      .mOperations;
+  return served;
+}
+
+/** @return operations in 20 s in which one of three availability zones is suspended */
+Served
+ServedWithoutZone(std::uint32_t aInstances, double aPerSecond, Duration aMaxWait)
+{
+  RateSimulation simulation(FirstSeed());
+  RateSimulation::Customer customer;
+  customer.mLimit = { aPerSecond * 1.6, 0 };
+  customer.mDemand = aPerSecond;
+  customer.mMaxWait = aMaxWait;
+  simulation.mCustomers["customer"] = customer;
+  for (std::uint32_t index = 0; index < aInstances; index++) {
+    simulation.Start("i" + std::to_string(index), "z" + std::to_string(index % 3));
+  }
+  simulation.RunFor(25s);
+  for (auto& [name, instance] : simulation.mInstances) {
+    if (instance.mZone == "z2") {
+      simulation.Kill(name);
+    }
+  }
+  RateSimulation::Customer& counted = simulation.mCustomers.at("customer");
+  counted.mStarted = 0;
+  counted.mRefused = 0;
+  simulation.RunFor(8s);
+  const Excess excess =
+    LargestExcess(counted.mRuns, { { {}, counted.mLimit } }, simulation.mWindow);
+  return { counted.mStarted, counted.mRefused, excess.mOperations };
+}
+
+} // namespace
+
+// Guards against refusals while the buckets of all limiters are empty for a moment.
+TEST_CASE(
+  "few operations of a customer below its limit are refused after a restart of all "
+  "instances, or without a third of them")
+{
+  const auto serve = GENERATE(&ServedAfterRestarts, &ServedWithoutZone);
+  const auto instances = GENERATE(3U, 12U);
+  const auto perSecond = GENERATE(20.0, 40.0, 200.0);
+  const Served unshaped = serve(instances, perSecond, 0ms);
+  const Served served = serve(instances, perSecond, 100ms);
+  INFO((serve == &ServedWithoutZone ? "zone " : "restart ")
+       << instances << " rate " << perSecond << " started " << served.mStarted
+       << " refused " << served.mRefused << " unshaped " << unshaped.mRefused << "/"
+       << unshaped.mStarted);
+  // A limiter of the smallest customer has a token every 0.19 s, longer than the wait.
+  const bool isSmall = serve == &ServedWithoutZone && perSecond < 30;
+  CHECK(served.mRefused * (isSmall ? 10 : 50) < served.mStarted);
+  CHECK(served.mExcess <= 0);
+}
+
+// Guards against operations that wait for a token until they are late, or wait and are
+// refused in the end.
+TEST_CASE("operations over the limit wait a quarter of their objective or are refused")
+{
+  const auto instances = GENERATE(3U, 12U);
+  const auto objective = GENERATE(150ms, 1000ms);
+  RateSimulation simulation(FirstSeed());
+  RateSimulation::Customer customer;
+  customer.mLimit = { 60, 0 };
+  customer.mDemand = 480;
+  customer.mMaxWait = objective / 4;
+  simulation.mCustomers["customer"] = customer;
+  for (std::uint32_t index = 0; index < instances; index++) {
+    simulation.Start("i" + std::to_string(index), "z" + std::to_string(index % 3));
+  }
+  simulation.RunFor(60s);
+  const RateSimulation::Customer& counted = simulation.mCustomers.at("customer");
+  INFO("instances " << instances << " objective " << objective.count() << " runs "
+                    << counted.mRuns.size() << " delayed " << counted.mDelayed
+                    << " longest wait " << counted.mLongestWait / 1ms
+                    << " ms, latest refusal " << counted.mLatestRefusal / 1ms << " ms");
+  CHECK(counted.mDelayed > 0);
+  CHECK(counted.mLongestWait <= customer.mMaxWait);
+  // Six limiters are asked in turn and one of them a second time, in up to 8 ms each,
+  // also for the operations that have arrived before.
+  CHECK(counted.mLatestRefusal <= 2 * 7 * 8ms);
+  const Excess excess =
+    LargestExcess(counted.mRuns, { { {}, counted.mLimit } }, simulation.mWindow);
+  CHECK(excess.mOperations <= 0);
+}
