--- a/src/libs/proxy/customers/limitertable.cpp
+++ b/src/libs/proxy/customers/limitertable.cpp
@@ -1,5 +1,7 @@
 #include "proxy/customers/limitertable.h"
 
+#include "proxy/customers/limitertimes.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -8,18 +10,13 @@
 
 namespace {
 
-// Bounds the time between the first and the last instance that uses a new list: the
-// interval at which up to 100 instances read it, and a margin for slow answers of the
-// store. A longer wait would refuse all customers after the first start of a deployment.
-constexpr Duration kListSpread = std::chrono::seconds(11);
-
 // With six limiters in up to four zones, the loss of a zone leaves at least two thirds of
 // a limit, and usual loads are below that.
 constexpr std::size_t kLimitersPerCustomer = 6;
 
 // A suspended instance expires from the list after 9.6 s at the earliest, and its
-// successor grants 11 s later. Its last heartbeat may be some seconds old when the
-// suspension begins.
+// successor grants 11 s later at the earliest. Its last heartbeat may be some seconds old
+// when the suspension begins.
 constexpr Duration kMaxSuspension = std::chrono::seconds(10);
 
 /** @return key of the customer in the ranking of instances; differs from any group's */
@@ -44,6 +41,7 @@
   , mZone(std::move(aZone))
   , mStartedAt(aStartedAt)
   , mActiveAt(aStartedAt)
+  , mIsolation(mInstance, mZone, aStartedAt)
 {
 }
 
@@ -56,12 +54,23 @@
   mActiveAt = std::max(mActiveAt, aNow);
 }
 
+void
+LimiterTable::OnOwnRow(const ConfirmedRow& aRow, TimePoint aNow)
+{
+  mIsolation.OnOwnRow(aRow, aNow);
+  mListSpread = ListSpreadFor(aRow.mReadInterval);
+  if (!mFirstWrittenAt && aRow.mWrittenAt > mStartedAt) {
+    mFirstWrittenAt = aRow.mWrittenAt;
+  }
+}
+
 void
 LimiterTable::SetInstances(std::span<const RegisteredInstance> aInstances,
                            StartKind aStart,
                            TimePoint aNow)
 {
   mStart = aStart;
+  mIsolation.SetInstances(aInstances, aNow);
   mListings.emplace_back(aNow, mInstance, mZone);
   // A limiter's work is small, so it is spread more evenly than that of homes: the loss
   // of a few large machines must not take all limiters of many customers.
@@ -71,7 +80,7 @@
   }
   mListings.back().mRanking.SetInstances(instances);
   // A list is replaced when its successor takes effect.
-  while (mListings.size() > 1 && mListings[1].mSince + kListSpread <= aNow) {
+  while (mListings.size() > 1 && mListings[1].mSince + mListSpread <= aNow) {
     mListings.pop_front();
   }
 }
@@ -102,15 +111,15 @@
 LimiterTable::IsOutOfUse(std::size_t aListing, TimePoint aNow) const
 {
   return aListing + 1 < mListings.size() &&
-         mListings[aListing + 1].mSince + kListSpread <= aNow;
+         mListings[aListing + 1].mSince + mListSpread <= aNow;
 }
 
 std::optional<TimePoint>
 LimiterTable::InChargeSince(std::string_view aCustomer, TimePoint aNow) const
 {
   const std::string key = RankingKey(aCustomer);
-  const bool hasJustResumed = mResumedAt && aNow - *mResumedAt < kListSpread;
-  if (mListings.empty() || hasJustResumed) {
+  const bool hasJustResumed = mResumedAt && aNow - *mResumedAt < mListSpread;
+  if (mListings.empty() || hasJustResumed || mIsolation.MayBeReplaced(aNow)) {
     return std::nullopt;
   }
   TimePoint since;
@@ -126,7 +135,10 @@
   if (mStart == StartKind::Restart) {
     return mStartedAt;
   }
-  return aNow - since >= kListSpread ? std::optional(since) : std::nullopt;
+  // Without its row, the others can't list this instance.
+  const bool isListed =
+    mFirstWrittenAt && aNow - std::max(since, *mFirstWrittenAt) >= mListSpread;
+  return isListed ? std::optional(since) : std::nullopt;
 }
 
 void
--- a/tests/auto/proxy/ratesimulation.h
+++ b/tests/auto/proxy/ratesimulation.h
@@ -5,13 +5,15 @@
 #include "proxy/customers/limitertable.h"
 #include "proxy/customers/tokengranting.h"
 #include "proxy/instanceregistry.h"
+#include "seedednumbers.h"
+#include "simulatedinstance.h"
+#include "simulatedstore.h"
 
 #include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,38 +23,6 @@
 
 using namespace std::chrono_literals;
 
-/** Source of random numbers that are the same on all processor architectures: the
- * distributions of the standard library are not. */
-class SeededNumbers
-{
-public:
-  explicit SeededNumbers(std::uint64_t aSeed)
-    : mEngine(aSeed)
-  {
-  }
-
-  /** @return number from 0 to aCount - 1 */
-  std::uint64_t Below(std::uint64_t aCount) { return mEngine() % aCount; }
-  /** @return whether an event of the given probability happens */
-  bool Happens(std::uint64_t aPerMillion) { return Below(1'000'000) < aPerMillion; }
-  Duration Between(Duration aMin, Duration aMax)
-  {
-    const auto steps = static_cast<std::uint64_t>((aMax - aMin) / 1ms) + 1;
-    return aMin + Below(steps) * 1ms;
-  }
-
-private:
-  std::mt19937_64 mEngine;
-};
-
-/** Faults of the links between instances. */
-struct LinkFaults
-{
-  std::uint64_t mLostPerMillion = 0;
-  std::uint64_t mDoubledPerMillion = 0;
-  std::uint64_t mSlowPerMillion = 0;
-};
-
 /**
  * Instances with the product's rate limiting on simulated time, connected by unreliable
  * links. They discover each other through a simulated store.
@@ -62,34 +32,8 @@
 class RateSimulation
 {
 public:
-  struct Customer
-  {
-    RateLimit mLimit;
-    /** Operations that clients start, per second. */
-    double mDemand = 0;
-    /** Instance to which all clients connect; empty for all instances alike. */
-    std::string mOnlyAt;
-    std::vector<TimePoint> mRuns;
-    std::uint64_t mStarted = 0;
-    std::uint64_t mRefused = 0;
-    std::uint64_t mUnavailable = 0;
-  };
-
-  struct Instance
-  {
-    std::string mZone;
-    /** 0 while the instance is down. */
-    std::uint64_t mProcess = 0;
-    bool mIsSuspended = false;
-    bool mReachesPeers = true;
-    bool mReachesStore = true;
-    std::unique_ptr<LimiterTable> mLimiters;
-    std::unique_ptr<RateLedger> mLedger;
-    std::unique_ptr<RateHolder> mHolder;
-    std::unique_ptr<InstanceRegistry> mRegistry;
-    std::map<std::string, RateLimit, std::less<>> mLimits;
-    std::vector<std::function<void()>> mDelayed;
-  };
+  using Customer = SimulatedCustomer;
+  using Instance = SimulatedInstance;
 
   explicit RateSimulation(std::uint64_t aSeed)
     : mNumbers(aSeed)
@@ -106,6 +50,7 @@
     Instance& instance = mInstances[aName];
     instance.mZone = aZone;
     instance.mProcess = mNextProcess++;
+    mRunning.clear();
     instance.mIsSuspended = false;
     instance.mDelayed.clear();
     instance.mLimiters = std::make_unique<LimiterTable>(aName, aZone, mNow);
@@ -115,21 +60,29 @@
       instance.mLimits[name] = customer.mLimit;
     }
     RegisteredInstance row{ aName, aZone, "127.0.0.1:1", 1, false };
+    instance.mReaderChoice = {};
+    instance.mReader =
+      std::make_unique<SnapshotReader>(std::string(kInstanceTable), ReaderHooks(aName));
     instance.mRegistry = std::make_unique<InstanceRegistry>(
       row,
       StoreOf(aName),
       [this] { return mNow; },
       [this, aName](std::span<const RegisteredInstance> aList) {
         Instance& self = mInstances.at(aName);
+        self.mReaderChoice = ChooseReaders(aName, aList);
         self.mLimiters->SetInstances(
           aList,
           self.mRegistry->WasListedBefore() ? StartKind::Restart : StartKind::New,
           mNow);
       });
-    OnRegistryTimer(aName);
+    OnTimer(aName);
   }
 
-  void Kill(const std::string& aName) { mInstances.at(aName).mProcess = 0; }
+  void Kill(const std::string& aName)
+  {
+    mInstances.at(aName).mProcess = 0;
+    mRunning.clear();
+  }
 
   void Suspend(const std::string& aName) { mInstances.at(aName).mIsSuspended = true; }
 
@@ -169,15 +122,16 @@
     mEvents.emplace(std::pair(aAt, mNextEvent++), std::move(aEvent));
   }
 
-  std::vector<std::string> Running() const
+  const std::vector<std::string>& Running() const
   {
-    std::vector<std::string> running;
-    for (const auto& [name, instance] : mInstances) {
-      if (instance.mProcess != 0) {
-        running.push_back(name);
+    if (mRunning.empty()) {
+      for (const auto& [name, instance] : mInstances) {
+        if (instance.mProcess != 0) {
+          mRunning.push_back(name);
+        }
       }
     }
-    return running;
+    return mRunning;
   }
 
   TimePoint mNow{ 1h };
@@ -215,7 +169,8 @@
     const bool isReachable = target != mInstances.end() &&
                              mInstances.at(aFrom).mReachesPeers &&
                              target->second.mReachesPeers;
-    if (!isReachable || mNumbers.Happens(mLinkFaults.mLostPerMillion)) {
+    if (!isReachable || target->second.mProcess == 0 ||
+        mNumbers.Happens(mLinkFaults.mLostPerMillion)) {
       return;
     }
     const int copies = mNumbers.Happens(mLinkFaults.mDoubledPerMillion) ? 2 : 1;
@@ -261,6 +216,7 @@
         *isAnswered = true;
         Instance& instance = mInstances.at(aName);
         instance.mLimiters->OnAnswer(aLimiter);
+        instance.mLimiters->OnPeerAnswered(aLimiter, mNow);
         instance.mHolder->OnGrant(aKey, grant, mNow);
       });
     });
@@ -276,6 +232,7 @@
   TokenGrant GrantTokensAt(const std::string& aName, const TokenRequest& aRequest)
   {
     Instance& instance = mInstances.at(aName);
+    instance.mLimiters->OnOwnRow(instance.mRegistry->OwnRow(), mNow);
     const auto limit = instance.mLimits.find(aRequest.mCustomer);
     return GrantTokens({ *instance.mLimiters, *instance.mLedger },
                        aRequest,
@@ -288,7 +245,7 @@
 
   void OnClientTick()
   {
-    const std::vector<std::string> running = Running();
+    const std::vector<std::string>& running = Running();
     for (auto& [name, customer] : mCustomers) {
       // Arrivals of one tick of 1 ms; at most 2 per customer.
       const auto perMillion = static_cast<std::uint64_t>(customer.mDemand * 500);
@@ -297,6 +254,7 @@
           continue;
         }
         const bool isFixed =
+          !customer.mOnlyAt.empty() &&
           std::find(running.begin(), running.end(), customer.mOnlyAt) != running.end();
         const std::string at =
           isFixed ? customer.mOnlyAt : running[mNumbers.Below(running.size())];
@@ -311,9 +269,10 @@
   {
     const std::uint64_t operation = mNextOperation++;
     mCustomers.at(aCustomer).mStarted++;
-    mPending[operation] = aCustomer;
+    mPending[operation] = { aCustomer, mNow };
     Instance& instance = mInstances.at(aName);
-    const TokenDecision decision = instance.mHolder->Take(aCustomer, operation, mNow);
+    const TokenDecision decision = instance.mHolder->Take(
+      aCustomer, operation, mNow, mCustomers.at(aCustomer).mMaxWait);
     if (decision.mOutcome != TokenOutcome::Pending) {
       OnDecision(aName, operation, decision);
       return;
@@ -330,73 +289,129 @@
                   std::uint64_t aOperation,
                   const TokenDecision& aDecision)
   {
-    const std::string name = mPending.at(aOperation);
+    const auto [name, startedAt] = mPending.at(aOperation);
     mPending.erase(aOperation);
     Customer& customer = mCustomers.at(name);
     if (aDecision.mOutcome == TokenOutcome::Refused) {
       customer.mRefused++;
+      customer.mLatestRefusal = std::max(customer.mLatestRefusal, mNow - startedAt);
     } else if (aDecision.mOutcome == TokenOutcome::Unavailable) {
       customer.mUnavailable++;
     } else if (mNumbers.Happens(kNotRunPerMillion)) {
-      ScheduleAt(aName, 5ms, [this, aName, name, at = aDecision.mExpiresAt] {
+      const Duration delay = std::max(aDecision.mUsableAt - mNow, Duration()) + 5ms;
+      ScheduleAt(aName, delay, [this, aName, name = name, at = aDecision.mExpiresAt] {
         mInstances.at(aName).mHolder->Return(name, at, mNow);
       });
+    } else if (aDecision.mUsableAt > mNow) {
+      customer.mDelayed++;
+      customer.mLongestWait =
+        std::max(customer.mLongestWait, aDecision.mUsableAt - startedAt);
+      ScheduleAt(aName, aDecision.mUsableAt - mNow, [this, customerName = name] {
+        mCustomers.at(customerName).mRuns.push_back(mNow);
+      });
     } else {
       customer.mRuns.push_back(mNow);
     }
   }
 
-  void OnRegistryTimer(const std::string& aName)
+  void OnTimer(const std::string& aName)
   {
     Instance& instance = mInstances.at(aName);
     instance.mLimiters->OnActivity(mNow);
     instance.mRegistry->OnTimer(mNow);
-    ScheduleAt(aName, instance.mRegistry->NextTimer() - mNow, [this, aName] {
-      OnRegistryTimer(aName);
-    });
+    instance.mLimiters->OnOwnRow(instance.mRegistry->OwnRow(), mNow);
+    for (const std::string& peer : instance.mLimiters->PeersToPing(mNow)) {
+      Deliver(aName, peer, [this, aName, peer] {
+        Deliver(peer, aName, [this, aName, peer] {
+          mInstances.at(aName).mLimiters->OnPeerAnswered(peer, mNow);
+        });
+      });
+    }
+    ScheduleAt(aName, kTimerInterval, [this, aName] { OnTimer(aName); });
   }
 
-  /** @return the store as seen by an instance; answers take up to 2.5 s */
-  SharedStore StoreOf(const std::string& aName)
+  /** @return hooks that read the table of instances from the store, whose answers take
+   * up to 2.5 s, or from readers */
+  SnapshotReaderHooks ReaderHooks(const std::string& aName)
   {
-    SharedStore store;
-    store.mRead = [this, aName](std::string_view,
+    SnapshotReaderHooks hooks;
+    hooks.mReaders = [this, aName] {
+      return mInstances.at(aName).mReaderChoice.mReaders;
+    };
+    hooks.mQueryReader = [this, aName](const std::string& aReader,
+                                       const RelayRequest& aRequest,
+                                       Duration aTimeout,
+                                       TimePoint,
+                                       const RelayHook& aHook) {
+      QueryReader(aName, aReader, aRequest, aTimeout, aHook);
+    };
+    hooks.mRead = [this, aName](TimePoint,
                                 const std::function<void(const ReadResult&)>& aHook) {
       if (!mInstances.at(aName).mReachesStore) {
         ScheduleAt(aName, 1s, [aHook] { aHook(StoreFailure::NoAnswer); });
         return;
       }
-      TableSnapshot snapshot;
-      snapshot.mStoreTimeMs = static_cast<std::uint64_t>(mNow.time_since_epoch() / 1ms);
-      for (const auto& [key, row] : mRows) {
-        snapshot.mRows.push_back(row);
-      }
+      const TableSnapshot snapshot = mStore.Snapshot(mNow);
       const bool isSlow = mNumbers.Happens(kSlowStorePerMillion);
       ScheduleAt(aName,
                  isSlow ? mNumbers.Between(10ms, 2500ms) : mNumbers.Between(5ms, 30ms),
                  [aHook, snapshot] { aHook(snapshot); });
     };
+    return hooks;
+  }
+
+  using RelayHook = std::function<void(const std::optional<RelayAnswer>&)>;
+
+  void QueryReader(const std::string& aName,
+                   const std::string& aReader,
+                   const RelayRequest& aRequest,
+                   Duration aTimeout,
+                   const RelayHook& aHook)
+  {
+    auto isDone = std::make_shared<bool>(false);
+    Deliver(aName, aReader, [this, aName, aReader, aRequest, isDone, aHook] {
+      const SnapshotReader& reader = *mInstances.at(aReader).mReader;
+      RelayAnswer answer;
+      answer.mIsRefused = !reader.ReadAsOf();
+      if (!answer.mIsRefused) {
+        answer = reader.Copy().ChangesAfter(aRequest.mSinceRevision);
+        answer.mRevision = reader.Copy().Revision();
+        answer.mAge = mNow - *reader.ReadAsOf();
+      }
+      Deliver(aReader, aName, [isDone, answer, aHook] {
+        if (!std::exchange(*isDone, true)) {
+          aHook(answer);
+        }
+      });
+    });
+    ScheduleAt(aName, aTimeout, [isDone, aHook] {
+      if (!std::exchange(*isDone, true)) {
+        aHook(std::nullopt);
+      }
+    });
+  }
+
+  /** @return the store as seen by an instance */
+  SharedStore StoreOf(const std::string& aName)
+  {
+    SharedStore store;
+    store.mRead = [this, aName](std::string_view,
+                                const std::function<void(const ReadResult&)>& aHook) {
+      mInstances.at(aName).mReader->Read(mNow, aHook);
+    };
     store.mWrite = [this, aName](const ConditionalWrite& aWrite,
                                  const std::function<void(const WriteResult&)>& aHook) {
       if (!mInstances.at(aName).mReachesStore) {
         ScheduleAt(aName, 1s, [aHook] { aHook(StoreFailure::NoAnswer); });
         return;
       }
-      StoredRow& row = mRows[aWrite.mRow.mKey];
-      if (row.mRevision != aWrite.mRow.mRevision) {
-        ScheduleAt(aName, 5ms, [aHook] { aHook(RowConflict{}); });
-        return;
-      }
-      row = aWrite.mRow;
-      row.mRevision = ++mRevision;
-      ScheduleAt(aName, 5ms, [aHook, revision = mRevision] {
-        aHook(Written{ revision, 0 });
-      });
+      ScheduleAt(aName, 5ms, [aHook, result = mStore.Write(aWrite)] { aHook(result); });
     };
     return store;
   }
 
   static constexpr Duration kOperationTimeout = 450ms;
+  static constexpr Duration kTimerInterval = 100ms;
   static constexpr std::uint64_t kNotRunPerMillion = 20'000;
   static constexpr std::uint64_t kSlowStorePerMillion = 200'000;
 
@@ -404,9 +419,11 @@
   std::uint64_t mNextEvent = 0;
   std::uint64_t mNextProcess = 1;
   std::uint64_t mNextOperation = 1;
-  std::map<std::uint64_t, std::string> mPending;
-  std::map<std::string, StoredRow> mRows;
-  std::uint64_t mRevision = 0;
+  /** Customer and start of each operation without a decision. */
+  std::map<std::uint64_t, std::pair<std::string, TimePoint>> mPending;
+  SimulatedStore mStore;
+  /** Instances that run; empty after a change. */
+  mutable std::vector<std::string> mRunning;
 };
 
 } // namespace papayaspindle::proxy
