Check that new limiters of a large deployment wait for older lists

Cause: in a scratch copy with reads every 30 s and a wait of 11 s, the case of tst_largedeployment on leaving limiters passed, because leaving instances are stopped before they can grant beside their successors.

Change: a further case starts three quarters of 200 and 300 instances beside living limiters.

--- a/tests/auto/proxy/tst_largedeployment.cpp
+++ b/tests/auto/proxy/tst_largedeployment.cpp
@@ -117,3 +117,23 @@
   CHECK(deployment.ExcessOf("over") <= 0);
   CHECK(deployment.ExcessOf("below") <= 0);
 }
+
+// Guards against limiters that grant beside living ones with older lists: with reads
+// every 30 s and a wait of 11 s, both granted their parts.
+TEST_CASE(
+  "new instances that replace most limiters don't let a customer exceed its limit")
+{
+  const auto instances = GENERATE(200U, 300U);
+  const std::uint64_t seed = FirstSeed();
+  CAPTURE(instances, seed);
+  const std::uint32_t first = instances / 4;
+  LargeDeployment deployment(seed, first);
+  RateSimulation& simulation = deployment.mSimulation;
+  // The first reads of the old instances are over, and their next one is due late.
+  simulation.RunFor(16s);
+  for (std::uint32_t index = first; index < instances; index++) {
+    deployment.StartAnother();
+  }
+  simulation.RunFor(35s);
+  CHECK(deployment.ExcessOf("over") <= 0);
+}
