--- a/tests/auto/exploration/peerlinks.h
+++ b/tests/auto/exploration/peerlinks.h
@@ -152,7 +152,9 @@
   /** Breaks links over which nothing has passed for 3 s, and others at random. */
   void BreakSome(std::uint64_t aPerMille)
   {
-    for (const auto& link : mLinks) {
+    // A broken link may lead to statements on new links.
+    const std::vector<std::shared_ptr<PeerLink>> links = mLinks;
+    for (const auto& link : links) {
       if (mContext.mNetwork.CanReach(link->mEntry->Name(), link->mHome->Name())) {
         link->mCutSince.reset();
         if (mContext.mRandom.Chance(aPerMille)) {
--- a/tests/auto/exploration/simulatedgroup.h
+++ b/tests/auto/exploration/simulatedgroup.h
@@ -155,7 +155,7 @@
       proxy::MemberEntry entry;
       entry.mId = id;
       entry.mGroup = mName;
-      entry.mAddress = "127.0.0.1:1";
+      entry.mAddress = member.mId + ":1";
       entry.mZone = member.mZone;
       entry.mSlots = member.mSlots;
       entry.mDraining = member.mIsDraining;
--- a/tests/auto/exploration/simulatedinstance.h
+++ b/tests/auto/exploration/simulatedinstance.h
@@ -74,7 +74,11 @@
     return mConnections;
   }
 
-  void Kill() { mIsRunning = false; }
+  void Kill()
+  {
+    mIsRunning = false;
+    mInbox.clear();
+  }
   void Suspend() { mIsSuspended = true; }
   void Resume()
   {
