--- a/tests/auto/exploration/commandexecution.h
+++ b/tests/auto/exploration/commandexecution.h
@@ -203,6 +203,9 @@
                          aExpected.mCustomer,
                          aConnection.mCustomer));
     }
+    if (mLedger.IsForbidden(aCommand.mId)) {
+      report("UNASKED", "runs although its customer's key is withdrawn");
+    }
     if (aConnection.mValues != aExpected.mValues) {
       report("PINNED", "runs with other session values");
     }
--- a/tests/auto/exploration/exploration.cpp
+++ b/tests/auto/exploration/exploration.cpp
@@ -21,7 +21,7 @@
   : mContext(aSeed)
   , mSetup(ChooseSetup(mContext.mRandom))
   , mLedger(mContext)
-  , mConfiguration(Configuration(mSetup))
+  , mConfiguration(Configuration(mSetup, 1, {}))
   , mStore(mContext, mInstances, mGroups)
   , mMembers(mContext, mLedger, mGroups, mSetup.mMaxConnections)
   , mPeers(mContext, mInstances)
@@ -56,10 +56,12 @@
 }
 
 proxy::ProxyConfiguration
-Exploration::Configuration(const ExplorationSetup& aSetup)
+Exploration::Configuration(const ExplorationSetup& aSetup,
+                           std::uint64_t aVersion,
+                           const std::string& aWithdrawn)
 {
   proxy::ProxyConfiguration configuration;
-  configuration.mVersion = 1;
+  configuration.mVersion = aVersion;
   const std::pair<const char*, proxy::Consistency> kinds[] = {
     { "main", proxy::Consistency::Primary },
     { "views", proxy::Consistency::Bounded },
@@ -75,14 +77,17 @@
       route.mDatabase = fmt::format("{}-{}", name, index);
       route.mGroup = group;
       route.mConsistency = consistency;
-      route.mStatementTimeout = 800ms;
-      route.mLatencyObjective = 300ms;
+      route.mStatementTimeout = aVersion % 2 == 1 ? 800ms : 1200ms;
+      route.mLatencyObjective = aVersion % 2 == 1 ? 300ms : 500ms;
       route.mPriority = consistency == proxy::Consistency::Primary ? 1 : 2;
       route.mMaxStaleness = consistency == proxy::Consistency::Primary ? 0ms : 1500ms;
       configuration.mRoutes[route.mDatabase] = route;
     }
   }
   for (const std::string& name : aSetup.mCustomers) {
+    if (name == aWithdrawn) {
+      continue;
+    }
     const proxy::KeyDigest key = proxy::DigestOf("key of " + name);
     configuration.mCustomers.Add({ name, std::nullopt, 0 }, { &key, 1 });
   }
@@ -200,11 +205,29 @@
   const auto instance =
     std::make_shared<SimulatedInstance>(mContext, setup, mEnvironment);
   mInstances[aName] = instance;
-  mContext.mClock.After(mContext.mRandom.Between(1ms, 80ms), [this, instance] {
-    instance->Post([this, instance] {
-      instance->Core().OnConfiguration(mConfiguration, mContext.mClock.Now());
+  SendConfiguration(instance, 80ms);
+}
+
+void
+Exploration::SendConfiguration(const std::shared_ptr<SimulatedInstance>& aInstance,
+                               Duration aLongest)
+{
+  mContext.mClock.After(
+    mContext.mRandom.Between(1ms, aLongest),
+    [this, aInstance, configuration = mConfiguration] {
+      aInstance->Post([this, aInstance, configuration] {
+        aInstance->Core().OnConfiguration(configuration, mContext.mClock.Now());
+      });
     });
-  });
+}
+
+void
+Exploration::ChangeConfiguration(const std::string& aWithdrawn)
+{
+  mConfiguration = Configuration(mSetup, mConfiguration.mVersion + 1, aWithdrawn);
+  for (const auto& [name, instance] : mInstances) {
+    SendConfiguration(instance, 800ms);
+  }
 }
 
 void
--- a/tests/auto/exploration/exploration.h
+++ b/tests/auto/exploration/exploration.h
@@ -44,6 +44,11 @@
   void ResumeInstance(const std::string& aName);
   void KillMember(SimulatedGroup& aGroup, SimulatedMember& aMember, bool aIsPowerLoss);
 
+  /** Gives all instances a new version of the configuration, each after some time.
+   *
+   * @param aWithdrawn customer whose key the version lacks; empty for none */
+  void ChangeConfiguration(const std::string& aWithdrawn);
+
   /** Checks that each group is served through each instance, and that no member is
    * paused. */
   void CheckService();
@@ -70,7 +75,11 @@
 
 private:
   static ExplorationSetup ChooseSetup(RandomSource& aRandom);
-  static proxy::ProxyConfiguration Configuration(const ExplorationSetup& aSetup);
+  static proxy::ProxyConfiguration Configuration(const ExplorationSetup& aSetup,
+                                                 std::uint64_t aVersion,
+                                                 const std::string& aWithdrawn);
+  void SendConfiguration(const std::shared_ptr<SimulatedInstance>& aInstance,
+                         Duration aLongest);
   InstanceEnvironment Environment();
   /** Compares the connections that instances count with those that they have opened. */
   void CheckConnections();
--- a/tests/auto/exploration/faultplan.h
+++ b/tests/auto/exploration/faultplan.h
@@ -35,7 +35,7 @@
 
   void InjectOne()
   {
-    switch (mContext.mRandom.Below(12)) {
+    switch (mContext.mRandom.Below(13)) {
       case 0:
         return KillInstance();
       case 1:
@@ -58,6 +58,8 @@
         return ChangeMember();
       case 10:
         return CutAllFromStore();
+      case 11:
+        return ChangeConfiguration();
       default:
         return DrainMember();
     }
@@ -71,6 +73,7 @@
     mContext.mLateAnswers = 0;
     mContext.mRefusals = 0;
     mContext.mNetwork.HealAll();
+    mExploration.ChangeConfiguration({});
     for (const std::string& name : mInstances) {
       mExploration.ResumeInstance(name);
       mExploration.StartInstance(name);
@@ -185,6 +188,14 @@
     });
   }
 
+  void ChangeConfiguration()
+  {
+    const std::vector<std::string>& customers = mExploration.mSetup.mCustomers;
+    const bool withdraws = !customers.empty() && mContext.mRandom.Chance(600);
+    mExploration.ChangeConfiguration(
+      withdraws ? customers[mContext.mRandom.Below(customers.size())] : std::string());
+  }
+
   void DrainMember()
   {
     const auto [group, id] = AnyMember();
--- a/tests/auto/exploration/simulatedclients.h
+++ b/tests/auto/exploration/simulatedclients.h
@@ -94,6 +94,10 @@
     if (client == nullptr) {
       return;
     }
+    if (!client->mIsAccepted && aAnswer.mError) {
+      // The refusal of a session takes the place of its greeting.
+      return;
+    }
     if (client->mSent.empty()) {
       mContext.mJournal.Report(
         "PINNED", { client->mName }, client->mName + " has an answer to no statement");
@@ -391,7 +395,11 @@
                                        aInstance.Name()));
     aClient.mSent.push_back({ aStatement, mContext.mClock.Now() });
     const auto process = aInstance.shared_from_this();
-    process->Post([this, process, aKey, statement = aStatement] {
+    process->Post([this, process, aKey, statement = aStatement, name = aClient.mCustomer] {
+      const auto& customers = process->Core().Configuration().mCustomers;
+      if (!name.empty() && customers.FindByName(name) == nullptr) {
+        mLedger.Forbid(statement.mId);
+      }
       process->Core().OnStatement(aKey, statement, mContext.mClock.Now());
     });
   }
--- a/tests/auto/exploration/statementledger.h
+++ b/tests/auto/exploration/statementledger.h
@@ -57,6 +57,14 @@
     return found == mExpectations.end() ? nullptr : &found->second;
   }
 
+  /** Records that an instance has received a statement whose customer it knows to be
+   * withdrawn, so that no member may run it. */
+  void Forbid(const std::string& aId) { mForbidden.insert(aId); }
+  [[nodiscard]] bool IsForbidden(const std::string& aId) const
+  {
+    return mForbidden.contains(aId);
+  }
+
   /** Records that a statement has taken effect at a member. */
   void OnCommitted(const std::string& aId,
                    const std::string& aMember,
@@ -208,6 +216,7 @@
   std::map<std::string, StatementExpectation> mExpectations;
   std::map<std::string, CommitRecord> mCommits;
   std::set<std::string> mRefused;
+  std::set<std::string> mForbidden;
   std::map<std::string, std::vector<Acknowledgement>> mAcknowledged;
   std::map<std::uint64_t, std::string> mMissedCommits;
   std::uint64_t mExecutions = 0;
