--- a/tests/auto/exploration/tst_instanceexploration.cpp
+++ b/tests/auto/exploration/tst_instanceexploration.cpp
@@ -52,6 +52,7 @@
     aExploration.Run(aExploration.mContext.mRandom.Between(50ms, 900ms));
   }
   faults.EndAll();
+  aExploration.mClients.mMayIdle = false;
   aExploration.Run(kRecovery);
   if (!aExploration.HasViolation()) {
     aExploration.CheckService();
