--- a/tests/auto/exploration/faultplan.h
+++ b/tests/auto/exploration/faultplan.h
@@ -35,7 +35,7 @@
 
   void InjectOne()
   {
-    switch (mContext.mRandom.Below(13)) {
+    switch (mContext.mRandom.Below(15)) {
       case 0:
         return KillInstance();
       case 1:
@@ -60,6 +60,10 @@
         return CutAllFromStore();
       case 11:
         return ChangeConfiguration();
+      case 12:
+        return CutZone();
+      case 13:
+        return IsolateLeader();
       default:
         return DrainMember();
     }
@@ -160,6 +164,61 @@
     }
   }
 
+  /** Cuts the instances and members of a zone from all others and from the store. */
+  void CutZone()
+  {
+    const std::string zone = mExploration.mInstances.at(AnyInstance())->Zone();
+    std::vector<std::string> inside;
+    std::vector<std::string> outside{ kStoreName };
+    for (const std::string& name : mInstances) {
+      (mExploration.mInstances.at(name)->Zone() == zone ? inside : outside)
+        .push_back(name);
+    }
+    for (const auto& [group, id] : mMembers) {
+      (Member(group, id).mZone == zone ? inside : outside).push_back(id);
+    }
+    CutBetween(inside, outside, 6s);
+  }
+
+  /** Leaves a leader only with some of the instances, which may also lack the store. */
+  void IsolateLeader()
+  {
+    auto group = mExploration.mGroups.begin();
+    std::advance(group, mContext.mRandom.Below(mExploration.mGroups.size()));
+    std::vector<std::string> inside{ group->second->Leader().mId };
+    std::vector<std::string> outside{ kStoreName };
+    for (const auto& [id, member] : group->second->Members()) {
+      if (id != inside.front()) {
+        outside.push_back(id);
+      }
+    }
+    for (const std::string& name : mInstances) {
+      const std::uint64_t side = mContext.mRandom.Below(3);
+      if (side < 2) {
+        (side == 0 ? inside : outside).push_back(name);
+      }
+    }
+    CutBetween(inside, outside, 8s);
+  }
+
+  void CutBetween(const std::vector<std::string>& aLeft,
+                  const std::vector<std::string>& aRight,
+                  Duration aLongest)
+  {
+    for (const std::string& left : aLeft) {
+      for (const std::string& right : aRight) {
+        mContext.mNetwork.Cut(left, right);
+      }
+    }
+    EndAfter(aLongest, [this, aLeft, aRight] {
+      for (const std::string& left : aLeft) {
+        for (const std::string& right : aRight) {
+          mContext.mNetwork.Heal(left, right);
+        }
+      }
+    });
+  }
+
   void KillMember()
   {
     const auto [group, id] = AnyMember();
--- a/tests/auto/exploration/memberserver.h
+++ b/tests/auto/exploration/memberserver.h
@@ -336,6 +336,12 @@
     MemberConnection& connection = found->second;
     connection.mIsExecuting = false;
     if (mContext.mRandom.Chance(mContext.mLostAnswers)) {
+      mContext.mJournal.Note(GroupOf(connection).Name(),
+                             fmt::format("{} loses an answer to {}, of state {}{}",
+                                         connection.mMember,
+                                         aId.mInstance,
+                                         static_cast<int>(aReply.mState),
+                                         aReply.mError ? " (error)" : ""));
       if (mContext.mRandom.Chance(500)) {
         Reset(aId);
         return;
