Don't take a reply to ROLLBACK for a success of BEGIN

Where the refusal of a sample's BEGIN was lost, the reply to the ROLLBACK behind it proved the leadership of any member, and bounded reads were older than their route allows.

--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -97,8 +97,11 @@
   const bool isWrite =
     aCommand.mKind == CommandKind::Write ||
     (aCommand.mKind == CommandKind::Commit && aConnection.mTransactionSession);
-  const bool provesLeadership =
-    !aReply.mError && (aCommand.mKind == CommandKind::Begin || isWrite);
+  // The reply to the ROLLBACK of a sample, which any member sends, arrives in place of a
+  // lost reply to BEGIN.
+  const bool isBegin =
+    aCommand.mKind == CommandKind::Begin && aReply.mState == TransactionState::Open;
+  const bool provesLeadership = !aReply.mError && (isBegin || isWrite);
   if (aReply.mError == AnswerCode::ReadOnly) {
     RecordLeadershipRefusal(member, aNow);
   }
@@ -182,7 +185,9 @@
   PoolConnection& connection = mConnections.at(aKey);
   if (connection.mState == ConnectionState::Internal) {
     // This BEGIN requested a position sample; the reply to its ROLLBACK follows.
-    if (!aReply.mError) {
+    if (!aReply.mError && aReply.mState != TransactionState::Open) {
+      AbandonConnection(aKey, "BEGIN without a transaction", aNow);
+    } else if (!aReply.mError) {
       DispatchWaiting(mGroups[mMembers.find(connection.mMember)->second.mEntry.mGroup],
                       aNow);
     }
--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -203,3 +203,35 @@
   fixture.Advance(100ms);
   REQUIRE(fixture.MemberOf(fixture.LastSent(CommandKind::Write)) == "r1");
 }
+
+// Guards against a replica that counts as the primary because the refusal of BEGIN was
+// lost and the reply to ROLLBACK was taken for the one to BEGIN.
+TEST_CASE("a reply to ROLLBACK proves no leadership")
+{
+  CoreFixture fixture;
+  std::vector<ConnectionKey> lost;
+  for (const auto& [key, member] : fixture.mMemberOf) {
+    if (member == "p") {
+      lost.push_back(key);
+    }
+  }
+  fixture.Advance(100ms);
+  for (const ConnectionKey key : lost) {
+    fixture.mCore.OnConnectionFailed(key, fixture.mNow);
+  }
+  for (const auto& [key, member] : std::exchange(fixture.mOpening, {})) {
+    fixture.mCore.OnConnectionFailed(key, fixture.mNow);
+  }
+  fixture.mSent.clear();
+  fixture.OpenSession(1, "main");
+  fixture.SendStatement(1, StatementKind::Write, "item data");
+  fixture.Advance(100ms);
+  fixture.Advance(100ms);
+  const CoreFixture::SentCommand begin = fixture.LastSent(CommandKind::Begin);
+  fixture.ReplySuccess(begin.mConnection, kUnsigned, TransactionState::Idle, { 1, 6 });
+  REQUIRE(fixture.LogLine("primary_proven").empty());
+  REQUIRE(fixture.SentCount(CommandKind::Write) == 0);
+  REQUIRE(std::count(fixture.mClosedConnections.begin(),
+                     fixture.mClosedConnections.end(),
+                     begin.mConnection) == 1);
+}
