--- a/tests/auto/exploration/simulatedgroup.h
+++ b/tests/auto/exploration/simulatedgroup.h
@@ -111,6 +111,11 @@
       mName,
       fmt::format(
         "{} calls for {} with token {}", aCall.mHolder, aCall.mMember, aCall.mToken));
+    if (mTokenHolders.emplace(aCall.mToken, aCall.mHolder).first->second !=
+        aCall.mHolder) {
+      mContext.mJournal.Report(
+        "ONE", { mName }, fmt::format("two instances used token {}", aCall.mToken));
+    }
     if (aCall.mToken < mNewestToken) {
       if (mEnforcer == proxy::LeadershipEnforcer::Platform) {
         return proxy::PromotionAnswer::Refused;
@@ -269,6 +274,7 @@
   std::string mLeader;
   std::uint64_t mTerm = 1;
   std::uint64_t mNewestToken = 0;
+  std::map<std::uint64_t, std::string> mTokenHolders;
   std::uint64_t mNewestCommit = 0;
   std::uint64_t mRevision = 0;
   std::size_t mPromotions = 0;
