--- a/src/libs/decision/capacity/readorder.cpp
+++ b/src/libs/decision/capacity/readorder.cpp
@@ -12,6 +12,27 @@
 // A slower member gets a second statement of this home only for a read that has waited
 // this multiple of what the member loses.
 constexpr int kFullUseFactor = 2;
+// The home that sends the reads to a member may have too few of its own to use it. With
+// this bound, reads of the other homes were not late when even members were taken for
+// uneven ones.
+constexpr Duration kMaxWaitForOthers = std::chrono::milliseconds(60);
+
+/** @return indices of the options that this home may use */
+std::vector<std::size_t>
+OwnOptions(std::span<const ReadOption> aOptions, Duration aWaited)
+{
+  std::vector<std::size_t> all(aOptions.size());
+  std::iota(all.begin(), all.end(), 0);
+  const auto isLeft = [&](std::size_t aIndex) {
+    return aOptions[aIndex].mIsLeftToOthers;
+  };
+  // Several uneven members indicate that the group is overloaded.
+  if (aOptions.size() > 1 && aWaited < kMaxWaitForOthers &&
+      std::count_if(all.begin(), all.end(), isLeft) == 1) {
+    std::erase_if(all, isLeft);
+  }
+  return all;
+}
 
 } // namespace
 
@@ -20,18 +41,18 @@
                  Duration aWaited,
                  const std::function<std::size_t()>& aAhead)
 {
-  std::vector<std::size_t> order(aOptions.size());
-  std::iota(order.begin(), order.end(), 0);
+  std::vector<std::size_t> order = OwnOptions(aOptions, aWaited);
   std::stable_sort(
     order.begin(), order.end(), [&](std::size_t aFirst, std::size_t aSecond) {
       return aOptions[aFirst].mCost < aOptions[aSecond].mCost;
     });
-  if (aOptions.size() < 2) {
+  if (order.size() < 2) {
     return order;
   }
   // Fixed costs count for the best member only, so that they make no member uneven.
   Duration best = Duration::max();
-  for (const ReadOption& option : aOptions) {
+  for (const std::size_t index : order) {
+    const ReadOption& option = aOptions[index];
     best = std::min(best, option.mExpectedTime + option.mFixedCost);
   }
   const auto isEven = [&](std::size_t aIndex) {
--- a/src/libs/decision/capacity/readorder.h
+++ b/src/libs/decision/capacity/readorder.h
@@ -25,6 +25,8 @@
   std::uint32_t mLimit = 1;
   /** Whether the estimate of the member needs another statement. */
   bool mNeedsProbe = false;
+  /** Whether another home sends the group's reads to the member. */
+  bool mIsLeftToOthers = false;
 };
 
 /**
@@ -32,7 +34,8 @@
  *
  * Members that need less than 1.5 times the time and fixed cost of the best one are
  * ordered by cost. A slower member follows them, and only if waiting for a faster one is
- * expected to take longer than the slower one loses.
+ * expected to take longer than the slower one loses. A single member that is left to
+ * another home is not chosen until the read has waited for 60 ms.
  *
  * @param aWaited how long the read has waited
  * @param aAhead returns the number of reads that run before it; called only if the
--- a/tests/auto/capacity/groupsimulation.cpp
+++ b/tests/auto/capacity/groupsimulation.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kObjective = 200ms;
 constexpr Duration kOneWay = 500us;
 constexpr Duration kFailureTime = 1ms;
+// Delay of a report, with the longest latency between zones.
+constexpr Duration kReportDelay = 4ms;
 // Two kinds of statements with a common mean of 12.8 ms.
 constexpr std::array<double, 2> kMeanMs{ 8, 20 };
 constexpr double kSecondKindShare = 0.4;
@@ -33,8 +35,11 @@
   , mHomes(aHomes)
   , mServers(aPattern.mMembers.size())
 {
-  for (Home& home : mHomes) {
-    home.mViews.resize(mServers.size());
+  for (std::size_t i = 0; i < mHomes.size(); i++) {
+    mHomes[i].mViews.resize(mServers.size());
+    for (View& view : mHomes[i].mViews) {
+      view.mSharing = MemberSharing(std::to_string(i));
+    }
   }
   mResult.mByMember.resize(mServers.size());
 }
@@ -58,6 +63,9 @@
   mWarmUpEnd = mStart + aWarmUp;
   mEnd = mStart + aLength;
   Schedule(mNow, [this] { Arrive(); });
+  for (std::size_t i = 0; mRule == Rule::Sharing && i < mHomes.size(); i++) {
+    Schedule(mNow + 37ms * i, [this, i] { Report(i); });
+  }
   while (!mEvents.empty()) {
     const Event event = mEvents.top();
     mEvents.pop();
@@ -119,7 +127,8 @@
                         runs,
                         view.mInFlight,
                         LimitOf(view),
-                        view.mCapacity.NeedsProbe(mNow) });
+                        view.mCapacity.NeedsProbe(mNow),
+                        view.mSharing.LeavesReads(mNow) });
   }
   return OrderReadOptions(
     options, mNow - aStatement.mArrivedAt, [aAhead] { return aAhead; });
@@ -158,7 +167,7 @@
 GroupSimulation::Send(Home& aHome, Statement aStatement, std::size_t aMember)
 {
   View& view = aHome.mViews[aMember];
-  view.mInFlight++;
+  SetInFlight(view, view.mInFlight + 1);
   view.mCapacity.OnStart(view.mInFlight, mNow);
   aStatement.mSentAt = mNow;
   aStatement.mMember = aMember;
@@ -224,11 +233,47 @@
     view.mWindow.OnAnswer(work.QueueTimeOf(took), kObjective, kSlots, mNow);
     work.Add(took);
   }
-  view.mInFlight--;
+  SetInFlight(view, view.mInFlight - 1);
   Count(aStatement);
   Dispatch(aStatement.mHome);
 }
 
+void
+GroupSimulation::SetInFlight(View& aView, std::uint32_t aInFlight)
+{
+  aView.mInFlight = aInFlight;
+  aView.mSharing.OnInFlight(aInFlight, mNow);
+}
+
+void
+GroupSimulation::Report(std::size_t aHome)
+{
+  std::vector<View>& views = mHomes[aHome].mViews;
+  double best = views.front().mCapacity.RelativeCost();
+  for (const View& view : views) {
+    best = std::min(best, view.mCapacity.RelativeCost());
+  }
+  for (std::size_t member = 0; member < views.size(); member++) {
+    const std::optional<MemberLoadReport> report = views[member].mSharing.Update(
+      { views[member].mCapacity.RelativeCost(), best, kSlots }, mNow);
+    if (!report) {
+      continue;
+    }
+    mResult.mReports++;
+    for (std::size_t other = 0; other < mHomes.size(); other++) {
+      if (other != aHome) {
+        Schedule(mNow + kReportDelay, [this, aHome, member, other, report] {
+          mHomes[other].mViews[member].mSharing.OnReport(
+            std::to_string(aHome), *report, mNow);
+        });
+      }
+    }
+  }
+  if (mNow < mEnd) {
+    Schedule(mNow + MemberSharing::kInterval, [this, aHome] { Report(aHome); });
+  }
+}
+
 void
 GroupSimulation::Count(const Statement& aStatement)
 {
--- a/tests/auto/capacity/groupsimulation.h
+++ b/tests/auto/capacity/groupsimulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/capacity/membercapacity.h"
+#include "decision/capacity/membersharing.h"
 #include "proxy/admission/concurrencywindow.h"
 #include "proxy/admission/workestimate.h"
 
@@ -23,6 +24,8 @@
   Baseline,
   /** The same with MemberCapacity and OrderReadOptions. */
   Capacity,
+  /** The same with MemberSharing. */
+  Sharing,
 };
 
 /** Behaviour of a simulated member. Times are seconds since the start. */
@@ -54,6 +57,8 @@
   /** Statements that failed or were not answered within the objective. */
   std::uint64_t mLate = 0;
   double mMeanMs = 0;
+  /** Number of reports that homes sent about members. */
+  std::uint64_t mReports = 0;
   /** Number of statements that each member was sent. */
   std::vector<std::uint64_t> mByMember;
 
@@ -94,6 +99,7 @@
     std::uint32_t mInFlight = 0;
     proxy::ConcurrencyWindow mWindow;
     MemberCapacity mCapacity;
+    MemberSharing mSharing{ "" };
     Duration mServiceTime = std::chrono::milliseconds(15);
   };
   struct Home
@@ -130,6 +136,9 @@
   void Reach(const Statement& aStatement);
   void StartService(const Statement& aStatement);
   void Answer(const Statement& aStatement);
+  void SetInFlight(View& aView, std::uint32_t aInFlight);
+  /** Exchanges the reports of one home, and schedules the next time. */
+  void Report(std::size_t aHome);
   void Count(const Statement& aStatement);
   double Uniform();
 
