Exchange the load of uneven members between the homes of a group

Homes send POST /peer/Capacity every 250 ms while a member of the group is slow for one of them. An older instance answers with an error, which is ignored.

--- a/src/libs/forwarding/forwardclient.cpp
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -106,6 +106,21 @@
         });
 }
 
+void
+ForwardClient::ReportCapacity(const std::string& aInstance,
+                              const proxy::CapacityReport& aReport,
+                              Duration aTimeout,
+                              TimePoint aNow)
+{
+  // An older instance answers with an error.
+  Query(aInstance,
+        kCapacityMethod,
+        EncodeCapacityReport(aReport),
+        aTimeout,
+        aNow,
+        [](const std::optional<std::string>&) {});
+}
+
 void
 ForwardClient::RequestTokens(const std::string& aInstance,
                              const TokenRequest& aRequest,
--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventloop/streamtable.h"
+#include "forwarding/capacitycodec.h"
 #include "forwarding/forwardcodec.h"
 #include "forwarding/relaycodec.h"
 #include "forwarding/tokencodec.h"
@@ -65,6 +66,12 @@
                     Duration aTimeout,
                     TimePoint aNow,
                     RelayHook aHook);
+  /** Sends a report about a group's members to another home. A report that is lost is not
+   * repeated. */
+  void ReportCapacity(const std::string& aInstance,
+                      const proxy::CapacityReport& aReport,
+                      Duration aTimeout,
+                      TimePoint aNow);
   /** Receives a limiter's grant, or nothing when there is no answer. */
   using GrantHook = std::function<void(const std::optional<TokenGrant>&)>;
   /**
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -159,6 +159,23 @@
   mLinksToFlush.insert(stream);
 }
 
+void
+ForwardServer::OnCapacityReport(StreamKey aStream,
+                                std::int32_t aRequest,
+                                const PeerRequest& aMessage)
+{
+  Link& link = mLinks.at(aStream);
+  const auto report = DecodeCapacityReport(aMessage.mBody);
+  if (report) {
+    mHooks.mCapacityReported(*report);
+    link.mSession->SubmitReply(aRequest, std::string());
+  } else {
+    link.mSession->SubmitReply(
+      aRequest,
+      Error{ ErrorKind::MalformedRequest, "the report on members can't be read" });
+  }
+}
+
 void
 ForwardServer::OnTokenRequest(StreamKey aStream,
                               std::int32_t aRequest,
@@ -189,6 +206,10 @@
     OnTokenRequest(aStream, aRequest, aMessage);
     return;
   }
+  if (aMessage.mMethod == kCapacityMethod) {
+    OnCapacityReport(aStream, aRequest, aMessage);
+    return;
+  }
   Link& link = mLinks.at(aStream);
   std::optional<proxy::ForwardedStatement> statement =
     DecodeForwardedStatement(aMessage.mBody);
--- a/src/libs/forwarding/forwardserver.h
+++ b/src/libs/forwarding/forwardserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventloop/streamtable.h"
+#include "forwarding/capacitycodec.h"
 #include "forwarding/forwardcodec.h"
 #include "forwarding/relaycodec.h"
 #include "forwarding/tokencodec.h"
@@ -29,6 +30,8 @@
   std::function<void(proxy::RelayKey, const proxy::RelayRequest&)> mRelayRequested;
   /** @return the answer to another instance's request for tokens */
   std::function<TokenGrant(const TokenRequest&)> mTokensRequested;
+  /** Another home reports about the members of a group. */
+  std::function<void(const proxy::CapacityReport&)> mCapacityReported;
   /** The requesting instance has disconnected. */
   std::function<void(proxy::RelayKey)> mRelayCancelled;
   /** @return whether this instance will soon accept no new transactions */
@@ -103,6 +106,9 @@
   void OnTokenRequest(StreamKey aStream,
                       std::int32_t aRequest,
                       const PeerRequest& aMessage);
+  void OnCapacityReport(StreamKey aStream,
+                        std::int32_t aRequest,
+                        const PeerRequest& aMessage);
   void OnRequest(StreamKey aStream, std::int32_t aRequest, const PeerRequest& aMessage);
   /** Handles that the entry instance has given up a statement. */
   void OnCancelled(StreamKey aStream, std::int32_t aRequest);
--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -3,6 +3,7 @@
 #include "core/logposition.h"
 #include "core/timetypes.h"
 #include "decision/capacity/membercapacity.h"
+#include "decision/capacity/membersharing.h"
 #include "proxy/admission/concurrencywindow.h"
 #include "proxy/connections/memberpool.h"
 #include "proxy/memberentry.h"
@@ -34,6 +35,8 @@
   /** Limits mInFlight together with mCapacity. */
   ConcurrencyWindow mWindow;
   MemberCapacity mCapacity;
+  /** Agreement with the group's other homes on the member's reads. */
+  MemberSharing mSharing;
   /** Since when the member has been unreachable: no connection works and none can be
    * opened. */
   std::optional<TimePoint> mUnreachableSince;
--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -40,6 +40,7 @@
   }
   UpdateSessionKeys(aNow);
   AdmitEarlySessions(aNow);
+  ShareCapacity(aNow);
   for (auto& [name, group] : mGroups) {
     DispatchWaiting(group, aNow);
   }
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -88,6 +88,9 @@
                        const TokenDecision& aDecision,
                        TimePoint aNow);
 
+  /** Handles a report of another home of a group. */
+  void OnCapacityReport(const CapacityReport& aReport, TimePoint aNow);
+
   // Control
 
   /** Applies a newer version of the configuration; ignores older versions. */
@@ -239,6 +242,12 @@
                     std::size_t aOldBytes,
                     std::size_t aNewBytes);
 
+  // proxycore_capacity.cpp
+  /** Updates what the homes of each group agree on, and reports to the other homes. */
+  void ShareCapacity(TimePoint aNow);
+  /** Records the numbers of statements at the group's members. */
+  void RecordInFlight(const Group& aGroup, TimePoint aNow);
+
   // proxycore_tokens.cpp
   /** Submits the operation once its customer's rate limit permits it. */
   void RequestToken(OperationKey aKey, Operation& aOperation, TimePoint aNow);
@@ -474,6 +483,7 @@
   OperationKey mNextOperation = 1;
   ConnectionKey mNextConnection = 1;
   TimePoint mNextMaintenance;
+  TimePoint mNextCapacityUpdate;
   std::optional<TimePoint> mDrainStart;
   std::optional<TimePoint> mCutOffSince;
 };
--- a/src/libs/proxy/proxycore_admission.cpp
+++ b/src/libs/proxy/proxycore_admission.cpp
@@ -111,7 +111,8 @@
                         runs,
                         member.mInFlight,
                         member.Limit(),
-                        member.mCapacity.NeedsProbe(aNow) });
+                        member.mCapacity.NeedsProbe(aNow),
+                        member.mSharing.LeavesReads(mSettings.mInstance, aNow) });
     members.push_back(&member);
   }
   std::vector<Member*> candidates;
--- a/src/libs/proxy/proxycore_dispatch.cpp
+++ b/src/libs/proxy/proxycore_dispatch.cpp
@@ -11,6 +11,7 @@
 void
 ProxyCore::DispatchWaiting(Group& aGroup, TimePoint aNow)
 {
+  RecordInFlight(aGroup, aNow);
   if (aGroup.mWaiting.IsEmpty()) {
     return;
   }
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -128,6 +128,7 @@
   aOperation.mSentAt = aNow;
   Member& member = mMembers.find(aOperation.mMember)->second;
   member.mCapacity.OnStart(member.mInFlight, aNow);
+  member.mSharing.OnInFlight(member.mInFlight, aNow);
   SendCommands(*aOperation.mConnection, connection, commands, aNow);
 }
 
--- a/src/libs/proxy/proxyhooks.h
+++ b/src/libs/proxy/proxyhooks.h
@@ -2,6 +2,7 @@
 
 #include "decision/allowance/rateholder.h"
 #include "observe/log.h"
+#include "proxy/capacityreport.h"
 #include "proxy/forwardedstatement.h"
 #include "proxy/membercommand.h"
 #include "proxy/memberentry.h"
@@ -84,6 +85,9 @@
    * leadership changes; nothing when only the members' own reports determine the leader
    */
   std::function<std::optional<std::string>(std::string_view aGroup)> mLeader;
+  /** Sends a report to the other homes of its group; may be empty where this instance is
+   * the only home. */
+  std::function<void(const CapacityReport&)> mReportCapacity;
   /** Writes a log event with its fields. */
   std::function<void(LogLevel, std::string_view aEvent, std::initializer_list<LogField>)>
     mLog;
--- a/tests/auto/capacity/tst_membersharing.cpp
+++ b/tests/auto/capacity/tst_membersharing.cpp
@@ -16,8 +16,7 @@
 UpdateFor(MemberSharing& aSharing, MemberSpeed aSpeed, Duration aTime, TimePoint& aNow)
 {
   std::optional<MemberLoadReport> report;
-  for (const TimePoint end = aNow + aTime; aNow < end;
-       aNow += MemberSharing::kInterval) {
+  for (const TimePoint end = aNow + aTime; aNow < end; aNow += MemberSharing::kInterval) {
     report = aSharing.Update(aSpeed, aNow);
   }
   return report;
