Make older instances refuse capacity reports

An instance that does not know a peer method reads the body as a statement. The report now holds a value that no statement may have, and unknown methods get an error answer.

--- a/src/libs/forwarding/capacitycodec.cpp
+++ b/src/libs/forwarding/capacitycodec.cpp
@@ -12,6 +12,7 @@
 // numbers are a foreign message.
 constexpr std::uint32_t kMaxThousandths = 100'000'000;
 constexpr int kMaxMembers = 1000;
+constexpr std::uint32_t kInvalidConsistency = 255;
 
 } // namespace
 
@@ -21,6 +22,7 @@
   v1::CapacityReport message;
   message.set_home(aReport.mHome);
   message.set_group(aReport.mGroup);
+  message.set_invalid_consistency(kInvalidConsistency);
   for (const auto& [id, load] : aReport.mMembers) {
     v1::MemberLoad& member = *message.add_members();
     member.set_member(id);
--- a/src/libs/forwarding/forwardserver.cpp
+++ b/src/libs/forwarding/forwardserver.cpp
@@ -211,6 +211,11 @@
     return;
   }
   Link& link = mLinks.at(aStream);
+  if (aMessage.mMethod != kStatementMethod && aMessage.mMethod != kSessionEndMethod) {
+    link.mSession->SubmitReply(
+      aRequest, Error{ ErrorKind::MalformedRequest, "the method is unknown" });
+    return;
+  }
   std::optional<proxy::ForwardedStatement> statement =
     DecodeForwardedStatement(aMessage.mBody);
   if (!statement) {
--- a/tests/auto/proxy/tst_proxyforwarding.cpp
+++ b/tests/auto/proxy/tst_proxyforwarding.cpp
@@ -395,4 +395,6 @@
   CHECK_FALSE(read->mMembers.at("r1").mIsUneven);
   CHECK_FALSE(DecodeCapacityReport(EncodeCapacityReport({})));
   CHECK_FALSE(DecodeCapacityReport("\xff"));
+  // An instance that does not know the method reads any body as a statement.
+  CHECK_FALSE(DecodeForwardedStatement(EncodeCapacityReport(report)));
 }
