--- a/src/libs/proxy/proxycore.cpp
+++ b/src/libs/proxy/proxycore.cpp
@@ -104,6 +104,7 @@
   RunStatusQueries(aNow);
   MaintainSessions(aNow);
   AdmitEarlySessions(aNow);
+  ShareCapacity(aNow);
   for (auto& [name, group] : mGroups) {
     DispatchWaiting(group, aNow);
   }
