--- a/tests/auto/exploration/simulatedinstance.h
+++ b/tests/auto/exploration/simulatedinstance.h
@@ -154,7 +154,10 @@
   {
     mMonitor.OnResponse(aHome, mContext.mClock.Now());
   }
-  void OnPeerDisconnected(const std::string& aHome) { mMonitor.OnDisconnected(aHome); }
+  void OnPeerDisconnected(const std::string& aHome)
+  {
+    mMonitor.OnDisconnected(aHome, mContext.mClock.Now());
+  }
   void OnForwardAnswer(proxy::OperationKey aOperation,
                        const proxy::ClientAnswer& aAnswer,
                        const std::string& aHome)
