Report failed statements before a lost connection in the exploration of instances

The simulation reported the lost connection first, so statements were forwarded again before their failure was reported, and a home answered one statement of a session with the answer of another. ForwardClient reports them in the other order, which its hook now states.

--- a/src/libs/forwarding/forwardclient.h
+++ b/src/libs/forwarding/forwardclient.h
@@ -35,7 +35,8 @@
   std::function<void(proxy::OperationKey)> mRefused;
   /** An instance has accepted the connection or sent data. */
   std::function<void(const std::string& aInstance)> mPeerResponded;
-  /** The connection to an instance has ended or couldn't be opened. */
+  /** The connection to an instance has ended or couldn't be opened; called after mFailed
+   * was called for each of its statements. */
   std::function<void(const std::string& aInstance)> mPeerDisconnected;
 };
 
--- a/tests/auto/exploration/peerlinks.h
+++ b/tests/auto/exploration/peerlinks.h
@@ -274,10 +274,12 @@
                  home = aLink.mHome->Name(),
                  pending = std::exchange(aLink.mPending, {}),
                  wasSent = aLink.mIsConnected] {
-      entry->OnPeerDisconnected(home);
+      // In the order of ForwardClient: a statement that fails is forwarded again, and must
+      // not be found at the lost home.
       for (const auto& [request, operation] : pending) {
         entry->OnForwardFailed(operation, wasSent, home);
       }
+      entry->OnPeerDisconnected(home);
     });
     const auto home = aLink.mHome;
     home->Post([this, home, sessions = std::exchange(aLink.mSessions, {})] {
