Don't report the failure of a cancelled statement that couldn't be sent

Cause: ForwardClient reports statements that couldn't be sent at its next Flush, also those that were cancelled meanwhile and forwarded to another home. The core then took the failure for one of the second home and forwarded the statement to a third while the second ran it; the home answered the session's next statement with the answer of the first. Change: Cancel removes such statements, and Flush takes them one by one.

--- a/src/libs/forwarding/forwardclient.cpp
+++ b/src/libs/forwarding/forwardclient.cpp
@@ -201,6 +201,8 @@
 void
 ForwardClient::Cancel(proxy::OperationKey aOperation)
 {
+  std::erase_if(mUnsentStatements,
+                [&](const auto& aUnsent) { return aUnsent.first == aOperation; });
   const auto entry = mOperationStreams.find(aOperation);
   if (entry == mOperationStreams.end()) {
     return;
@@ -313,8 +315,12 @@
 void
 ForwardClient::Flush(TimePoint aNow)
 {
-  const auto unsent = std::exchange(mUnsentStatements, {});
-  for (const auto& [operation, instance] : unsent) {
+  // A hook may cancel statements that follow, or forward further ones that can't be sent.
+  for (std::size_t left = mUnsentStatements.size();
+       left > 0 && !mUnsentStatements.empty();
+       left--) {
+    const auto [operation, instance] = mUnsentStatements.front();
+    mUnsentStatements.erase(mUnsentStatements.begin());
     mHooks.mFailed(operation, false, instance);
   }
   for (const QueryHook& hook : std::exchange(mUnsentQueries, {})) {
--- a/tests/auto/exploration/peerlinks.h
+++ b/tests/auto/exploration/peerlinks.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,10 +39,14 @@
   {
     const auto link = Connect(aEntry, aHome);
     if (!link) {
+      const UnsentStatement unsent(aEntry.Name(), aOperation);
+      mUnsent.insert(unsent);
       mContext.mClock.After(Latency(),
-                            [entry = aEntry.shared_from_this(), aOperation, aHome] {
-                              entry->Post([entry, aOperation, aHome] {
-                                entry->OnForwardFailed(aOperation, false, aHome);
+                            [this, entry = aEntry.shared_from_this(), unsent, aHome] {
+                              entry->Post([this, entry, unsent, aHome] {
+                                if (mUnsent.erase(unsent) > 0) {
+                                  entry->OnForwardFailed(unsent.second, false, aHome);
+                                }
                               });
                             });
       return;
@@ -61,8 +66,9 @@
 
   void Cancel(SimulatedInstance& aEntry, proxy::OperationKey aOperation)
   {
+    mUnsent.erase({ aEntry.Name(), aOperation });
     for (const auto& link : mLinks) {
-      if (link->mEntry.get() != &aEntry || link->mIsBroken) {
+      if (link->mEntry.get() != &aEntry) {
         continue;
       }
       const auto pending =
@@ -166,7 +172,9 @@
         Break(*link);
       }
     }
-    std::erase_if(mLinks, [](const auto& aLink) { return aLink->mIsBroken; });
+    std::erase_if(mLinks, [](const auto& aLink) {
+      return aLink->mIsBroken && aLink->mPending.empty();
+    });
   }
 
 private:
@@ -269,17 +277,18 @@
     }
     aLink.mToHome->Close();
     aLink.mToEntry->Close();
-    const auto entry = aLink.mEntry;
-    entry->Post([entry,
-                 home = aLink.mHome->Name(),
-                 pending = std::exchange(aLink.mPending, {}),
-                 wasSent = aLink.mIsConnected] {
-      // In the order of ForwardClient: a statement that fails is forwarded again, and must
-      // not be found at the lost home.
-      for (const auto& [request, operation] : pending) {
-        entry->OnForwardFailed(operation, wasSent, home);
+    const auto link = *std::find_if(mLinks.begin(), mLinks.end(), [&](const auto& aEach) {
+      return aEach.get() == &aLink;
+    });
+    const bool wasSent = link->mIsConnected;
+    link->mEntry->Post([link, wasSent] {
+      const std::string& home = link->mHome->Name();
+      // As in ForwardClient, a statement that was cancelled meanwhile doesn't fail, and
+      // the others fail before the loss of the connection is reported.
+      for (const auto& [request, operation] : std::exchange(link->mPending, {})) {
+        link->mEntry->OnForwardFailed(operation, wasSent, home);
       }
-      entry->OnPeerDisconnected(home);
+      link->mEntry->OnPeerDisconnected(home);
     });
     const auto home = aLink.mHome;
     home->Post([this, home, sessions = std::exchange(aLink.mSessions, {})] {
@@ -289,8 +298,13 @@
     });
   }
 
+  /** Name of the entry instance, and the operation of a statement that couldn't be sent.
+   */
+  using UnsentStatement = std::pair<std::string, proxy::OperationKey>;
+
   ExplorationContext& mContext;
   const Instances& mInstances;
+  std::set<UnsentStatement> mUnsent;
   std::vector<std::shared_ptr<PeerLink>> mLinks;
   RequestNumber mNewestRequest = 0;
   proxy::SessionKey mNextSession = kFirstForwardedSession;
--- a/tests/auto/exploration/simulatedclients.cpp
+++ b/tests/auto/exploration/simulatedclients.cpp
@@ -253,8 +253,7 @@
   if (!mLedger.Find(aStatement.mId)->mIsWrite) {
     mLedger.OnReadAnswered(aStatement.mId, aAnswer.mText);
   } else if (aAnswer.mText != "sig-" + aStatement.mId + "-0") {
-    mContext.mJournal.Report(
-      "PINNED", { aStatement.mId }, aStatement.mId + " has another statement's answer");
+    mLedger.OnForeignAnswer(aStatement.mId, aAnswer.mText);
   } else if (mLedger.Find(aStatement.mId)->mInTransaction) {
     aClient.mWrites.push_back(aStatement.mId);
   } else {
--- a/tests/auto/exploration/statementledger.h
+++ b/tests/auto/exploration/statementledger.h
@@ -173,13 +173,29 @@
     return fmt::format("sig-{}-{}", aId, mExecutions);
   }
 
+  /** @return id of the statement that a member's signature belongs to */
+  static std::string IdOf(const std::string& aSignature)
+  {
+    const std::size_t begin = std::string_view("sig-").size();
+    return aSignature.size() < begin
+             ? std::string()
+             : aSignature.substr(begin, aSignature.rfind('-') - begin);
+  }
+
+  /** Reports that a client received another statement's answer. */
+  void OnForeignAnswer(const std::string& aId, const std::string& aSignature)
+  {
+    mContext.mJournal.Report("PINNED",
+                             { aId, IdOf(aSignature) },
+                             aId + " has another statement's answer: " + aSignature);
+  }
+
   /** Checks the answer of a read that a client has received. */
   void OnReadAnswered(const std::string& aId, const std::string& aSignature)
   {
     const std::string prefix = "sig-" + aId + "-";
     if (!aSignature.starts_with(prefix)) {
-      mContext.mJournal.Report(
-        "PINNED", { aId }, aId + " has another statement's answer: " + aSignature);
+      OnForeignAnswer(aId, aSignature);
       return;
     }
     const std::string& missed =
--- a/tests/auto/proxy/tst_forwardinglimits.cpp
+++ b/tests/auto/proxy/tst_forwardinglimits.cpp
@@ -60,7 +60,9 @@
   ForwardClientHooks ClientHooks()
   {
     ForwardClientHooks hooks;
-    hooks.mAddressOf = [this](const std::string&) { return std::optional(mAddress); };
+    hooks.mAddressOf = [this](const std::string& aInstance) {
+      return aInstance == "unlisted" ? std::nullopt : std::optional(mAddress);
+    };
     hooks.mAnswered = [](OperationKey, HomeAnswer, const std::string&) {};
     hooks.mFailed = [this](OperationKey, bool, const std::string&) { mFailed++; };
     hooks.mRefused = [this](OperationKey aKey) { mRefused.push_back(aKey); };
@@ -123,6 +125,18 @@
   REQUIRE(instances.mFailed == 0);
 }
 
+// Guards against a statement that runs at two homes because its failure at one is
+// reported after it was forwarded to the other.
+TEST_CASE("a statement that couldn't be sent and was cancelled doesn't fail")
+{
+  TwoInstances instances;
+  instances.mEntry.Forward("unlisted", 1, {}, EventLoop::Now());
+  instances.mEntry.Forward("unlisted", 2, {}, EventLoop::Now());
+  instances.mEntry.Cancel(1);
+  instances.mEntry.Flush(EventLoop::Now());
+  REQUIRE(instances.mFailed == 1);
+}
+
 // Guards against a message that is never finished and stays in memory for ever.
 TEST_CASE("a home refuses a message that stays unfinished for the timeout")
 {
