--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -328,20 +328,7 @@
                                      TimePoint) {
       return mPickCustomerHome(aCustomer, aSpread, aExcluded);
     };
-    hooks.mTakeToken = [this](std::string_view aCustomer,
-                              OperationKey aKey,
-                              Duration aMaxWait,
-                              TimePoint) {
-      mTokenMaxWait = aMaxWait;
-      mTokenRequests.emplace_back(aKey, aCustomer);
-      return mTokenDecision;
-    };
-    hooks.mReturnToken = [this](std::string_view, TimePoint aExpiresAt, TimePoint) {
-      mReturnedTokens.push_back(aExpiresAt);
-    };
-    hooks.mCancelToken = [this](std::string_view, OperationKey aKey) {
-      mCancelledTokens.push_back(aKey);
-    };
+    AddTokenHooks(hooks);
     hooks.mForward = [this](const std::string& aHome,
                             OperationKey aOperation,
                             const ForwardedStatement& aStatement) {
@@ -374,6 +361,24 @@
     return hooks;
   }
 
+  void AddTokenHooks(ProxyHooks& aHooks)
+  {
+    aHooks.mTakeToken = [this](std::string_view aCustomer,
+                               OperationKey aKey,
+                               Duration aMaxWait,
+                               TimePoint) {
+      mTokenMaxWait = aMaxWait;
+      mTokenRequests.emplace_back(aKey, aCustomer);
+      return mTokenDecision;
+    };
+    aHooks.mReturnToken = [this](std::string_view, TimePoint aExpiresAt, TimePoint) {
+      mReturnedTokens.push_back(aExpiresAt);
+    };
+    aHooks.mCancelToken = [this](std::string_view, OperationKey aKey) {
+      mCancelledTokens.push_back(aKey);
+    };
+  }
+
   std::uint64_t mNextId = 0;
 
 public:
