--- a/tests/auto/allowance/tst_rateholder.cpp
+++ b/tests/auto/allowance/tst_rateholder.cpp
@@ -1,16 +1,97 @@
 // Tests of the tokens that an instance holds for its clients' operations: which limiters
 // it asks, when operations are refused, and how long tokens can be used.
 
-#include "rateholderfixture.h"
+#include "decision/allowance/rateholder.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace papayaspindle;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct SentRequest
+{
+  std::string mLimiter;
+  std::uint32_t mCount = 0;
+  std::uint64_t mRequest = 0;
+  Duration mMaxWait{};
+};
+
+/** A holder with recorded requests and decisions; the test answers the requests. */
+class Fixture
+{
+public:
+  RateHolderHooks Hooks()
+  {
+    RateHolderHooks hooks;
+    hooks.mLimiters = [this](std::string_view, TimePoint) { return mLimiters; };
+    hooks.mRequest = [this](const std::string& aLimiter,
+                            const TokenRequest& aRequest,
+                            std::uint64_t aKey,
+                            TimePoint) -> std::optional<TokenGrant> {
+      mSent.push_back({ aLimiter, aRequest.mCount, aKey, aRequest.mMaxWait });
+      if (aLimiter == "self") {
+        return mOwnGrant;
+      }
+      return std::nullopt;
+    };
+    hooks.mDecided = [this](std::uint64_t aOperation, const TokenDecision& aDecision) {
+      mDecisions.emplace_back(aOperation, aDecision);
+      if (mOnDecided) {
+        mOnDecided(aOperation);
+      }
+    };
+    return hooks;
+  }
+
+  TokenDecision Take(std::uint64_t aOperation)
+  {
+    return mHolder.Take("acme", aOperation, mNow);
+  }
+
+  /** Answers the last request. */
+  void Grant(std::uint32_t aGranted, Duration aWait = 0ms)
+  {
+    mHolder.OnGrant(mSent.back().mRequest, { aGranted, aWait }, mNow);
+  }
+
+  void Lose() { mHolder.OnNoAnswer(mSent.back().mRequest, mNow); }
+
+  /** Leaves a token with the holder that was requested now. */
+  void HoldToken()
+  {
+    Take(900);
+    Grant(2);
+    mSent.clear();
+    mDecisions.clear();
+  }
+
+  std::size_t Count(TokenOutcome aOutcome) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mDecisions.begin(), mDecisions.end(), [&](const auto& aDecision) {
+        return aDecision.second.mOutcome == aOutcome;
+      }));
+  }
+
+  TimePoint mNow{ 1h };
+  std::vector<std::string> mLimiters{ "l1", "l2", "l3", "l4" };
+  TokenGrant mOwnGrant;
+  std::vector<SentRequest> mSent;
+  std::vector<std::pair<std::uint64_t, TokenDecision>> mDecisions;
+  std::function<void(std::uint64_t)> mOnDecided;
+  RateHolder mHolder{ Hooks() };
+};
+
+} // namespace
 
 // Guards against asking distant limiters while the preferred one has tokens.
 TEST_CASE("the preferred limiter is asked first, and the others in turn")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   REQUIRE(fixture.Take(1).mOutcome == TokenOutcome::Pending);
   REQUIRE(fixture.mSent.back().mLimiter == "l1");
   fixture.Grant(0, 40ms);
@@ -27,7 +108,7 @@
 // Guards against a round trip for a limiter in the own process.
 TEST_CASE("a limiter in this instance decides at once")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.mLimiters = { "self" };
   fixture.mOwnGrant = { 1, {} };
   REQUIRE(fixture.Take(1).mOutcome == TokenOutcome::Granted);
@@ -41,7 +122,7 @@
 // Guards against a retry time that is longer than necessary.
 TEST_CASE("a refusal reports the shortest wait of the limiters")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   for (const Duration wait : { 900ms, 300ms, 600ms, 800ms }) {
     fixture.Grant(0, wait);
@@ -53,7 +134,7 @@
 // Guards against a message for each refusal of a customer far over its limit.
 TEST_CASE("limiters without tokens are not asked again for a while")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   for (int limiter = 0; limiter < 4; limiter++) {
     fixture.Grant(0, 900ms);
@@ -69,7 +150,7 @@
 // because the limiters were not asked again.
 TEST_CASE("a refusal without a request reports the wait that the limiters reported")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   for (int limiter = 0; limiter < 4; limiter++) {
     fixture.Grant(0, 900ms);
@@ -82,7 +163,7 @@
 // its way are no evidence that the limiter has run out of tokens.
 TEST_CASE("a limiter that granted all that was requested counts as having more")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   for (std::uint64_t operation = 2; operation <= 20; operation++) {
     fixture.Take(operation);
@@ -95,7 +176,7 @@
 // Guards against one message for each operation of a busy customer.
 TEST_CASE("operations that wait together share a request")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   fixture.Take(2);
   fixture.Take(3);
@@ -111,7 +192,7 @@
 // limiter can be reached.
 TEST_CASE("an operation is refused as undecided when no limiter answers")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   for (int limiter = 0; limiter < 4; limiter++) {
     fixture.Lose();
@@ -125,7 +206,7 @@
 // refusal of an earlier minute says nothing about the limit now.
 TEST_CASE("an old refusal of a lost limiter doesn't count as over the limit")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   fixture.Grant(0, 40ms);
   fixture.Grant(1);
@@ -141,7 +222,7 @@
 // Guards against tokens of one window that are used in the next.
 TEST_CASE("a token lapses 300 ms after its request")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.HoldToken();
   fixture.mNow += 299ms;
   REQUIRE(fixture.Take(1).mOutcome == TokenOutcome::Granted);
@@ -153,7 +234,7 @@
 // Guards against tokens from before a suspension of this instance.
 TEST_CASE("a grant that arrives too late is void")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   fixture.mNow += 10s;
   fixture.Grant(1);
@@ -164,7 +245,7 @@
 // Guards against counting twice what the link delivered twice.
 TEST_CASE("a repeated answer adds no tokens")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   fixture.Grant(1);
   fixture.Grant(1);
@@ -177,7 +258,7 @@
 // extending their life.
 TEST_CASE("a returned token serves another operation until it lapses")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.HoldToken();
   const TokenDecision taken = fixture.Take(1);
   fixture.mHolder.Return("acme", taken.mExpiresAt, fixture.mNow);
@@ -193,7 +274,7 @@
 // Guards against a decision on an operation that its client has abandoned.
 TEST_CASE("a cancelled operation gets no decision, and its token serves the next one")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   fixture.mHolder.Cancel("acme", 1);
   fixture.Grant(1);
@@ -206,7 +287,7 @@
 // a lost limiter that is never asked again.
 TEST_CASE("a lost limiter is asked again after a pause")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.Take(1);
   fixture.Lose();
   fixture.Grant(1);
@@ -223,7 +304,7 @@
 TEST_CASE("an operation that starts from within a decision is decided once")
 {
   const bool isGranted = GENERATE(true, false);
-  RateHolderFixture fixture;
+  Fixture fixture;
   std::uint64_t next = 2;
   fixture.mOnDecided = [&](std::uint64_t) {
     if (next <= 10) {
@@ -253,7 +334,7 @@
 // an operation of another.
 TEST_CASE("a decision may start an operation of another customer")
 {
-  RateHolderFixture fixture;
+  Fixture fixture;
   fixture.mLimiters = { "l1", "self" };
   std::optional<TokenDecision> other;
   fixture.mOnDecided = [&](std::uint64_t aOperation) {
@@ -272,3 +353,56 @@
                        fixture.mDecisions.end(),
                        [](const auto& aDecision) { return aDecision.first == 50; }));
 }
+
+// Guards against refusals while a limiter has a token within the time that an operation
+// can wait, and against a request in advance while another limiter has tokens.
+TEST_CASE("the limiter with the next token is asked for it in advance before a refusal")
+{
+  Fixture fixture;
+  fixture.mLimiters = { "l1", "l2", "l3" };
+  REQUIRE(fixture.mHolder.Take("acme", 1, fixture.mNow, 50ms).mOutcome ==
+          TokenOutcome::Pending);
+  fixture.Grant(0, 40ms);
+  fixture.Grant(0, 20ms);
+  fixture.Grant(0, 41ms);
+  REQUIRE(fixture.mSent.size() == 4);
+  REQUIRE(fixture.mSent.back().mLimiter == "l2");
+  REQUIRE(fixture.mSent.back().mMaxWait == 40ms);
+  fixture.mHolder.OnGrant(fixture.mSent.back().mRequest, { 0, 20ms, 1 }, fixture.mNow);
+  REQUIRE(fixture.mDecisions.size() == 1);
+  REQUIRE(fixture.mDecisions[0].second.mOutcome == TokenOutcome::Granted);
+  REQUIRE(fixture.mDecisions[0].second.mUsableAt == fixture.mNow + 20ms);
+  REQUIRE(fixture.mDecisions[0].second.mExpiresAt == fixture.mNow + kTokenLifetime);
+}
+
+// Guards against operations that wait and are refused in the end.
+TEST_CASE("an operation that can't wait for the next token is refused at once")
+{
+  const auto maxWait = GENERATE(0ms, 9ms, 49ms);
+  Fixture fixture;
+  fixture.mLimiters = { "l1", "l2" };
+  fixture.mHolder.Take("acme", 1, fixture.mNow, maxWait);
+  fixture.Grant(0, 40ms);
+  fixture.Grant(0, 60ms);
+  REQUIRE(fixture.mSent.size() == 2);
+  REQUIRE(fixture.Count(TokenOutcome::Refused) == 1);
+}
+
+// Guards against endless requests to a limiter of an older version, which answers without
+// tokens in advance, and against a token that comes too late.
+TEST_CASE(
+  "a request in advance is sent once, and a token that is usable too late is left")
+{
+  const auto grant = GENERATE(TokenGrant{ 0, 20ms, 0 }, TokenGrant{ 0, 51ms, 1 });
+  Fixture fixture;
+  fixture.mLimiters = { "l1" };
+  fixture.mHolder.Take("acme", 1, fixture.mNow, 50ms);
+  fixture.Grant(0, 20ms);
+  fixture.mHolder.OnGrant(fixture.mSent.back().mRequest, grant, fixture.mNow);
+  if (grant.mAdvanced > 0) {
+    // The next request is answered without tokens.
+    fixture.mHolder.OnGrant(fixture.mSent.back().mRequest, { 0, 20ms, 0 }, fixture.mNow);
+  }
+  REQUIRE(fixture.mSent.size() == (grant.mAdvanced > 0 ? 3 : 2));
+  REQUIRE(fixture.Count(TokenOutcome::Refused) == 1);
+}
