Revert tokens that are granted in advance

Cause: operations of a customer at its limit waited up to a quarter of their objective for tokens in advance. Statements with long objectives thereby used up the tokens of those with short ones, and transactions, whose statements share one objective, became late. Change: are reverted; isolated limiters and reading intervals stay.

--- a/src/libs/decision/allowance/rateholder.h
+++ b/src/libs/decision/allowance/rateholder.h
@@ -41,8 +41,6 @@
   Duration mRetryAfter{};
   /** When a granted token lapses. */
   TimePoint mExpiresAt;
-  /** From when on a granted token may be used. */
-  TimePoint mUsableAt;
 };
 
 /** Functions that a RateHolder depends on, and its notifications. */
@@ -71,23 +69,17 @@
  *
  * It asks a customer's limiters in turn, for all operations that wait at that time. A
  * limiter that had too few tokens isn't asked again for a while: a customer far over its
- * limit must not cost a request for each refusal. Before operations are refused, the
- * limiter that will have a token first is asked for tokens in advance, if the operations
- * can wait for them.
+ * limit must not cost a request for each refusal.
  */
 class RateHolder
 {
 public:
   explicit RateHolder(RateHolderHooks aHooks);
 
-  /**
-   * @param aOperation identifies the operation in mDecided; not 0
-   * @param aMaxWait how long the operation can wait until its token may be used
-   */
+  /** @param aOperation identifies the operation in mDecided; not 0 */
   TokenDecision Take(std::string_view aCustomer,
                      std::uint64_t aOperation,
-                     TimePoint aNow,
-                     Duration aMaxWait = {});
+                     TimePoint aNow);
   /** Gives back the token of an operation that no member has run. */
   void Return(std::string_view aCustomer, TimePoint aExpiresAt, TimePoint aNow);
   /** Removes an operation whose decision is pending. */
@@ -101,15 +93,6 @@
   {
     std::uint32_t mCount = 0;
     TimePoint mExpiresAt;
-    TimePoint mUsableAt;
-  };
-
-  /** An operation that waits for its decision. */
-  struct Waiting
-  {
-    std::uint64_t mOperation = 0;
-    /** Latest time from which its token has to be usable. */
-    TimePoint mUsableBy;
   };
 
   /** What a limiter that had too few tokens has reported. */
@@ -119,15 +102,13 @@
     TimePoint mPausedUntil;
     /** When the limiter expects to have a token. */
     TimePoint mNextTokenAt;
-    /** Until when the limiter is not asked for tokens in advance. */
-    TimePoint mAdvancePausedUntil;
   };
 
   /** State of one customer. */
   struct Account
   {
     std::deque<Tokens> mTokens;
-    std::deque<Waiting> mWaiting;
+    std::deque<std::uint64_t> mWaiting;
     /** Unanswered request; 0 for none. */
     std::uint64_t mRequest = 0;
     /** Whether Advance runs: an operation that starts from within mDecided waits for it.
@@ -135,7 +116,6 @@
     bool mIsAdvancing = false;
     std::string mRequestedFrom;
     std::uint32_t mRequestedCount = 0;
-    bool mIsRequestedInAdvance = false;
     TimePoint mRequestedAt;
     /** Limiters that had too few tokens, by name. */
     std::map<std::string, Exhaustion> mExhausted;
@@ -146,37 +126,14 @@
   /** Requests tokens for the operations that wait, or refuses them. */
   void Advance(const std::string& aCustomer, TimePoint aNow);
   void AddGrant(Account& aAccount, const TokenGrant& aGrant, TimePoint aNow);
-  /** A limiter to ask. */
-  struct Choice
-  {
-    std::string mLimiter;
-    /** How long the operations can wait for tokens in advance. */
-    Duration mMaxWait{};
-  };
-
-  [[nodiscard]] bool IsLost(const Account& aAccount,
-                            const std::string& aLimiter,
-                            TimePoint aNow) const;
-  /** @return the limiter to ask next; nothing if none may be asked */
-  [[nodiscard]] std::optional<Choice> ChooseLimiter(
-    const Account& aAccount,
-    const std::vector<std::string>& aLimiters,
-    TimePoint aNow) const;
-  void Request(const std::string& aCustomer,
-               Account& aAccount,
-               const Choice& aChoice,
-               TimePoint aNow);
   /** @return decision on an operation if none of the limiters can be asked */
   static TokenDecision RefusalFor(const Account& aAccount,
                                   const std::vector<std::string>& aLimiters,
                                   TimePoint aNow);
-  /** Takes the token of the account that is usable first.
+  /** Takes a token of the account.
    *
-   * @return decision that grants it; nothing if the account holds none that is usable in
-   * time */
-  static std::optional<TokenDecision> TakeToken(Account& aAccount,
-                                                TimePoint aUsableBy,
-                                                TimePoint aNow);
+   * @return when it lapses; nothing if the account holds none */
+  static std::optional<TimePoint> TakeToken(Account& aAccount, TimePoint aNow);
   /** Decides on the first of the operations that wait. */
   void Decide(Account& aAccount, const TokenDecision& aDecision);
 
--- a/src/libs/decision/allowance/rateledger.cpp
+++ b/src/libs/decision/allowance/rateledger.cpp
@@ -37,13 +37,9 @@
   bucket.mFilledAt = std::max(bucket.mFilledAt, aNow);
   TokenGrant grant;
   grant.mGranted =
-    std::min(aRequest.mCount,
-             static_cast<std::uint32_t>(std::floor(std::max(bucket.mTokens, 0.0))));
+    std::min(aRequest.mCount, static_cast<std::uint32_t>(std::floor(bucket.mTokens)));
   bucket.mTokens -= grant.mGranted;
-  if (grant.mGranted < aRequest.mCount && aRequest.mMaxWait > Duration()) {
-    GrantInAdvance(aRequest, aPart, bucket, grant);
-  }
-  if (grant.mAdvanced == 0 && grant.mGranted < aRequest.mCount) {
+  if (grant.mGranted < aRequest.mCount) {
     const double missing = 1 - std::min(bucket.mTokens, 1.0);
     const double wait = aPart.mPerSecond > 0
                           ? missing / aPart.mPerSecond
@@ -55,26 +51,6 @@
   return grant;
 }
 
-void
-RateLedger::GrantInAdvance(const TokenRequest& aRequest,
-                           const RateLimit& aPart,
-                           Bucket& aBucket,
-                           TokenGrant& aGrant)
-{
-  const Duration permitted = std::min(aRequest.mMaxWait, kMaxAdvance);
-  const double tokens =
-    aBucket.mTokens + aPart.mPerSecond * std::chrono::duration<double>(permitted).count();
-  if (tokens < 1) {
-    return;
-  }
-  aGrant.mAdvanced = std::min(aRequest.mCount - aGrant.mGranted,
-                              static_cast<std::uint32_t>(std::floor(tokens)));
-  aBucket.mTokens -= aGrant.mAdvanced;
-  const double debt = std::max(-aBucket.mTokens, 0.0);
-  aGrant.mWait =
-    std::chrono::ceil<Duration>(std::chrono::duration<double>(debt / aPart.mPerSecond));
-}
-
 void
 RateLedger::RemoveIf(const std::function<bool(std::string_view aCustomer)>& aIsRemovable)
 {
--- a/src/libs/decision/allowance/rateledger.h
+++ b/src/libs/decision/allowance/rateledger.h
@@ -3,7 +3,6 @@
 #include "core/timetypes.h"
 #include "decision/allowance/ratelimit.h"
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,30 +11,21 @@
 
 namespace papayaspindle {
 
-/** Longest time by which a token is granted in advance. Less than kTokenLifetime, so that
- * the token can still be used after it. */
-constexpr Duration kMaxAdvance = std::chrono::milliseconds(200);
-
 /** An instance's request for tokens, each of which permits one operation of a customer.
  */
 struct TokenRequest
 {
   std::string mCustomer;
   std::uint32_t mCount = 0;
-  /** How long the operations can wait for a token that is granted in advance; zero if no
-   * token is to be granted in advance. */
-  Duration mMaxWait{};
 };
 
 /** A limiter's answer to a request for tokens. */
 struct TokenGrant
 {
   std::uint32_t mGranted = 0;
-  /** Time until the advanced tokens may be used. Without any, time until a further token
-   * may be available; only meaningful when fewer tokens were granted than requested. */
+  /** Time until a further token may be available; only meaningful when fewer tokens were
+   * granted than requested. */
   Duration mWait{};
-  /** Tokens that the bucket will have after mWait. */
-  std::uint32_t mAdvanced = 0;
 };
 
 /**
@@ -53,9 +43,7 @@
   explicit RateLedger(double aInitialTokens);
 
   /**
-   * Grants as many of the requested tokens as the customer's bucket holds, and in advance
-   * those that it will hold within the wait that the request permits. The debt of the
-   * bucket is thereby bounded to kMaxAdvance of its rate.
+   * Grants as many of the requested tokens as the customer's bucket holds.
    *
    * @param aPart this limiter's part of the customer's limit
    * @param aInChargeSince since when this process has been a limiter of the customer
@@ -78,12 +66,6 @@
     TimePoint mFilledAt;
   };
 
-  /** Takes tokens that the bucket will have within the permitted wait. */
-  static void GrantInAdvance(const TokenRequest& aRequest,
-                             const RateLimit& aPart,
-                             Bucket& aBucket,
-                             TokenGrant& aGrant);
-
   double mInitialTokens;
   std::map<std::string, Bucket, std::less<>> mBuckets;
 };
--- a/src/libs/forwarding/tokencodec.cpp
+++ b/src/libs/forwarding/tokencodec.cpp
@@ -20,7 +20,6 @@
   v1::TokensRequest message;
   message.set_customer(aRequest.mCustomer);
   message.set_count(aRequest.mCount);
-  message.set_max_wait_us(ToMicroseconds(aRequest.mMaxWait));
   return message.SerializeAsString();
 }
 
@@ -32,9 +31,7 @@
       message.count() > kMaxTokens) {
     return std::nullopt;
   }
-  return TokenRequest{ message.customer(),
-                       message.count(),
-                       FromMicroseconds(message.max_wait_us(), kMaxReceivedWait) };
+  return TokenRequest{ message.customer(), message.count() };
 }
 
 std::string
@@ -42,7 +39,6 @@
 {
   v1::TokensReply message;
   message.set_granted(aGrant.mGranted);
-  message.set_advanced(aGrant.mAdvanced);
   message.set_wait_us(
     ToMicroseconds(std::chrono::ceil<std::chrono::microseconds>(aGrant.mWait)));
   return message.SerializeAsString();
@@ -52,13 +48,11 @@
 DecodeTokenGrant(const std::string& aBytes)
 {
   v1::TokensReply message;
-  if (!message.ParseFromString(aBytes) || message.granted() > kMaxTokens ||
-      message.advanced() > kMaxTokens) {
+  if (!message.ParseFromString(aBytes) || message.granted() > kMaxTokens) {
     return std::nullopt;
   }
   return TokenGrant{ message.granted(),
-                     FromMicroseconds(message.wait_us(), kMaxReceivedWait),
-                     message.advanced() };
+                     FromMicroseconds(message.wait_us(), kMaxReceivedWait) };
 }
 
 } // namespace papayaspindle
--- a/src/libs/proxy/operation.h
+++ b/src/libs/proxy/operation.h
@@ -2,7 +2,6 @@
 
 #include "core/logposition.h"
 #include "core/timetypes.h"
-#include "decision/allowance/rateholder.h"
 #include "proxy/admission/operationqueue.h"
 #include "proxy/proxyconfiguration.h"
 #include "proxy/session.h"
@@ -54,8 +53,6 @@
   /** When the token of the customer's rate limit lapses; nothing for an operation that
    * needs none. */
   std::optional<TimePoint> mTokenExpiresAt;
-  /** Token that was granted in advance; the operation waits until it may be used. */
-  std::optional<TokenDecision> mAdvancedToken;
   std::string mGroup;
   /** Customer whose connections run the operation; empty without customers. */
   std::string mCustomer;
--- a/src/libs/proxy/proxycore.h
+++ b/src/libs/proxy/proxycore.h
@@ -255,8 +255,6 @@
   // proxycore_tokens.cpp
   /** Submits the operation once its customer's rate limit permits it. */
   void RequestToken(OperationKey aKey, Operation& aOperation, TimePoint aNow);
-  /** Handles the timer of an operation without a usable token. */
-  void OnTokenTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow);
   /** @return whether the operation counts towards a rate limit at this instance */
   [[nodiscard]] bool NeedsToken(const Operation& aOperation) const;
 
--- a/src/libs/proxy/proxycore_operations.cpp
+++ b/src/libs/proxy/proxycore_operations.cpp
@@ -180,7 +180,7 @@
   }
   Operation& operation = found->second;
   if (operation.mStage == OperationStage::AwaitingToken) {
-    OnTokenTimer(aKey, operation, aNow);
+    FailOperation(aKey, AnswerCode::Busy, "the rate limit was not checked in time", aNow);
     return;
   }
   if (operation.mStage == OperationStage::Waiting) {
--- a/src/libs/proxy/proxycore_tokens.cpp
+++ b/src/libs/proxy/proxycore_tokens.cpp
@@ -1,10 +1,7 @@
 #include "proxy/proxycore.h"
-#include "proxy/proxytimes.h"
 
 #include <fmt/format.h>
 
-#include <algorithm>
-
 namespace papayaspindle::proxy {
 
 bool
@@ -22,12 +19,7 @@
 ProxyCore::RequestToken(OperationKey aKey, Operation& aOperation, TimePoint aNow)
 {
   aOperation.mStage = OperationStage::AwaitingToken;
-  const TimePoint usableBy =
-    aOperation.mArrivedAt + std::chrono::duration_cast<Duration>(
-                              aOperation.mRoute.mLatencyObjective * kTokenWaitShare);
-  const Duration maxWait = std::max(usableBy - aNow, Duration());
-  const TokenDecision decision =
-    mHooks.mTakeToken(aOperation.mCustomer, aKey, maxWait, aNow);
+  const TokenDecision decision = mHooks.mTakeToken(aOperation.mCustomer, aKey, aNow);
   if (decision.mOutcome == TokenOutcome::Pending) {
     ScheduleOperation(aKey, WaitLimit(aOperation));
     return;
@@ -42,19 +34,12 @@
 {
   const auto found = mOperations.find(aOperation);
   if (found == mOperations.end() ||
-      found->second.mStage != OperationStage::AwaitingToken ||
-      found->second.mAdvancedToken) {
+      found->second.mStage != OperationStage::AwaitingToken) {
     return;
   }
   Operation& operation = found->second;
   switch (aDecision.mOutcome) {
     case TokenOutcome::Granted:
-      if (aDecision.mUsableAt > aNow) {
-        mHooks.mCount("rate_limit_delayed");
-        operation.mAdvancedToken = aDecision;
-        ScheduleOperation(aOperation, aDecision.mUsableAt);
-        return;
-      }
       operation.mTokenExpiresAt = aDecision.mExpiresAt;
       operation.mStage = OperationStage::Waiting;
       SubmitOperation(aOperation, operation, aNow);
@@ -79,18 +64,4 @@
   }
 }
 
-void
-ProxyCore::OnTokenTimer(OperationKey aKey, Operation& aOperation, TimePoint aNow)
-{
-  if (!aOperation.mAdvancedToken) {
-    FailOperation(aKey, AnswerCode::Busy, "the rate limit was not checked in time", aNow);
-    return;
-  }
-  if (aOperation.mAdvancedToken->mUsableAt <= aNow) {
-    const TokenDecision decision = *aOperation.mAdvancedToken;
-    aOperation.mAdvancedToken.reset();
-    OnTokenDecision(aKey, decision, aNow);
-  }
-}
-
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/proxyhooks.h
+++ b/src/libs/proxy/proxyhooks.h
@@ -60,11 +60,9 @@
                                            const std::set<std::string>& aExcluded,
                                            TimePoint aNow)>
     mPickCustomerHome;
-  /** Takes a token of the customer's rate limit for an operation, which can wait until
-   * the token may be used; if the outcome is Pending, OnTokenDecision follows. Empty
-   * where rates are not limited. */
-  std::function<
-    TokenDecision(std::string_view aCustomer, OperationKey, Duration aMaxWait, TimePoint)>
+  /** Takes a token of the customer's rate limit for an operation; if the outcome is
+   * Pending, OnTokenDecision follows. Empty where rates are not limited. */
+  std::function<TokenDecision(std::string_view aCustomer, OperationKey, TimePoint)>
     mTakeToken;
   /** Returns the token of an operation that no member has run. */
   std::function<void(std::string_view aCustomer, TimePoint aExpiresAt, TimePoint aNow)>
--- a/src/libs/proxy/proxytimes.h
+++ b/src/libs/proxy/proxytimes.h
@@ -60,9 +60,6 @@
 /** Maximum number of attempts for an operation that may safely be repeated. */
 constexpr std::uint32_t kMaxReadAttempts = 4;
 
-/** Fraction of the latency objective that an operation may wait until its token of the
- * customer's rate limit may be used. */
-constexpr double kTokenWaitShare = 0.25;
 /** Fraction of the latency objective that a statement may wait for a connection; the rest
  * is reserved for running the statement. */
 constexpr double kObjectiveShare = 0.8;
--- a/tests/auto/allowance/tst_rateledger.cpp
+++ b/tests/auto/allowance/tst_rateledger.cpp
@@ -147,32 +147,3 @@
   REQUIRE(PartOfLimiter({ 100, 40 }, {}, 4) == RateLimit{ 25, 10 });
   REQUIRE(PartOfLimiter({ 100, 40 }, {}, 0) == RateLimit{ 100, 40 });
 }
-
-// Guards against a debt without a bound, and against tokens that may be used before the
-// bucket would have held them.
-TEST_CASE("tokens in advance are those that the bucket will hold within the wait")
-{
-  Fixture fixture;
-  const auto ask = [&](std::uint32_t aCount, Duration aMaxWait) {
-    return fixture.mLedger.Grant(
-      { "acme", aCount, aMaxWait }, fixture.mPart, fixture.mSince, fixture.mNow);
-  };
-  REQUIRE(ask(2, 150ms).mGranted == 2);
-  // Half a token is left; the next one is complete after 50 ms, the third after 150 ms.
-  REQUIRE(ask(1, 49ms).mAdvanced == 0);
-  REQUIRE(ask(1, 0ms).mAdvanced == 0);
-  const TokenGrant first = ask(5, 50ms);
-  REQUIRE(first.mGranted == 0);
-  REQUIRE(first.mAdvanced == 1);
-  REQUIRE(first.mWait == 50ms);
-  const TokenGrant second = ask(5, 10s);
-  REQUIRE(second.mAdvanced == 1);
-  REQUIRE(second.mWait == 150ms);
-  const TokenGrant refused = ask(1, 10s);
-  REQUIRE(refused.mAdvanced == 0);
-  REQUIRE(refused.mWait == 250ms);
-  fixture.mNow += 249ms;
-  REQUIRE(ask(1, 0ms).mGranted == 0);
-  fixture.mNow += 1ms;
-  REQUIRE(ask(1, 0ms).mGranted == 1);
-}
--- a/tests/auto/platform/tst_customerdecoding.cpp
+++ b/tests/auto/platform/tst_customerdecoding.cpp
@@ -152,11 +152,7 @@
   REQUIRE(request);
   REQUIRE(request->mCustomer == "acme");
   REQUIRE(request->mCount == 17);
-  REQUIRE(request->mMaxWait == 0us);
-  REQUIRE(DecodeTokenRequest(EncodeTokenRequest({ "acme", 17, 25ms }))->mMaxWait == 25ms);
-  REQUIRE(DecodeTokenGrant(EncodeTokenGrant({ 5, 1234us, 3 }))->mAdvanced == 3);
   const auto grant = DecodeTokenGrant(EncodeTokenGrant({ 5, 1234us }));
-  REQUIRE(grant->mAdvanced == 0);
   REQUIRE(grant);
   REQUIRE(grant->mGranted == 5);
   REQUIRE(grant->mWait == 1234us);
@@ -176,7 +172,6 @@
   REQUIRE_FALSE(DecodeTokenRequest(EncodeTokenRequest({ "", 1 })));
   REQUIRE_FALSE(DecodeTokenRequest(EncodeTokenRequest({ "acme", 100'001 })));
   REQUIRE_FALSE(DecodeTokenGrant(EncodeTokenGrant({ 100'001, {} })));
-  REQUIRE_FALSE(DecodeTokenGrant(EncodeTokenGrant({ 0, {}, 100'001 })));
   REQUIRE_FALSE(DecodeTokenRequest("\xff\xff\xff"));
   REQUIRE_FALSE(DecodeTokenGrant("\xff\xff\xff"));
 }
--- a/tests/auto/proxy/corefixture.h
+++ b/tests/auto/proxy/corefixture.h
@@ -279,7 +279,6 @@
         return std::optional<std::string>("instance-1");
       };
   std::vector<CapacityReport> mReports;
-  Duration mTokenMaxWait{};
   /** Decision on each operation that needs a token. */
   TokenDecision mTokenDecision{ TokenOutcome::Granted, {}, mNow + 300ms };
   std::vector<std::pair<OperationKey, std::string>> mTokenRequests;
@@ -363,11 +362,7 @@
 
   void AddTokenHooks(ProxyHooks& aHooks)
   {
-    aHooks.mTakeToken = [this](std::string_view aCustomer,
-                               OperationKey aKey,
-                               Duration aMaxWait,
-                               TimePoint) {
-      mTokenMaxWait = aMaxWait;
+    aHooks.mTakeToken = [this](std::string_view aCustomer, OperationKey aKey, TimePoint) {
       mTokenRequests.emplace_back(aKey, aCustomer);
       return mTokenDecision;
     };
--- a/tests/auto/proxy/ratesequence.h
+++ b/tests/auto/proxy/ratesequence.h
@@ -74,7 +74,6 @@
     RateSimulation::Customer customer;
     customer.mLimit = aLimit;
     customer.mDemand = aLimit.mPerSecond * 4;
-    customer.mMaxWait = mSimulation.mNumbers.Below(4) * 80ms;
     if (mSimulation.mNumbers.Below(2) == 0) {
       customer.mOnlyAt = "i0" + std::to_string(mSimulation.mNumbers.Below(3));
     }
--- a/tests/auto/proxy/ratesimulation.h
+++ b/tests/auto/proxy/ratesimulation.h
@@ -269,10 +269,9 @@
   {
     const std::uint64_t operation = mNextOperation++;
     mCustomers.at(aCustomer).mStarted++;
-    mPending[operation] = { aCustomer, mNow };
+    mPending[operation] = aCustomer;
     Instance& instance = mInstances.at(aName);
-    const TokenDecision decision = instance.mHolder->Take(
-      aCustomer, operation, mNow, mCustomers.at(aCustomer).mMaxWait);
+    const TokenDecision decision = instance.mHolder->Take(aCustomer, operation, mNow);
     if (decision.mOutcome != TokenOutcome::Pending) {
       OnDecision(aName, operation, decision);
       return;
@@ -289,26 +288,17 @@
                   std::uint64_t aOperation,
                   const TokenDecision& aDecision)
   {
-    const auto [name, startedAt] = mPending.at(aOperation);
+    const std::string name = mPending.at(aOperation);
     mPending.erase(aOperation);
     Customer& customer = mCustomers.at(name);
     if (aDecision.mOutcome == TokenOutcome::Refused) {
       customer.mRefused++;
-      customer.mLatestRefusal = std::max(customer.mLatestRefusal, mNow - startedAt);
     } else if (aDecision.mOutcome == TokenOutcome::Unavailable) {
       customer.mUnavailable++;
     } else if (mNumbers.Happens(kNotRunPerMillion)) {
-      const Duration delay = std::max(aDecision.mUsableAt - mNow, Duration()) + 5ms;
-      ScheduleAt(aName, delay, [this, aName, name = name, at = aDecision.mExpiresAt] {
+      ScheduleAt(aName, 5ms, [this, aName, name, at = aDecision.mExpiresAt] {
         mInstances.at(aName).mHolder->Return(name, at, mNow);
       });
-    } else if (aDecision.mUsableAt > mNow) {
-      customer.mDelayed++;
-      customer.mLongestWait =
-        std::max(customer.mLongestWait, aDecision.mUsableAt - startedAt);
-      ScheduleAt(aName, aDecision.mUsableAt - mNow, [this, customerName = name] {
-        mCustomers.at(customerName).mRuns.push_back(mNow);
-      });
     } else {
       customer.mRuns.push_back(mNow);
     }
@@ -419,8 +409,7 @@
   std::uint64_t mNextEvent = 0;
   std::uint64_t mNextProcess = 1;
   std::uint64_t mNextOperation = 1;
-  /** Customer and start of each operation without a decision. */
-  std::map<std::uint64_t, std::pair<std::string, TimePoint>> mPending;
+  std::map<std::uint64_t, std::string> mPending;
   SimulatedStore mStore;
   /** Instances that run; empty after a change. */
   mutable std::vector<std::string> mRunning;
--- a/tests/auto/proxy/simulatedinstance.h
+++ b/tests/auto/proxy/simulatedinstance.h
@@ -31,12 +31,6 @@
   double mDemand = 0;
   /** Instance to which all clients connect; empty for all instances alike. */
   std::string mOnlyAt;
-  /** How long its operations can wait for tokens that are granted in advance. */
-  Duration mMaxWait{};
-  Duration mLongestWait{};
-  std::uint64_t mDelayed = 0;
-  /** Longest time from the start of an operation until it was refused. */
-  Duration mLatestRefusal{};
   std::vector<TimePoint> mRuns;
   std::uint64_t mStarted = 0;
   std::uint64_t mRefused = 0;
