Identify planned statements by their operation's key

Operations carry their key since the queue was moved out of the proxy core, so the plan needs no second key for those that are not queued, and no look-up to compare them. The tests of homes without a connection share their set-up. Behaviour and assertions are unchanged. Checked: formatter, linter on both files, tst_homemonitor, tst_proxyadmission, tst_explanation, tst_proxyoverload, tst_customerconnections, tst_proxycapacity and tst_proxycustomers.

--- a/src/libs/proxy/proxycore_customeradmission.cpp
+++ b/src/libs/proxy/proxycore_customeradmission.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Key of an operation that is not queued; the keys of queued ones begin at 1. */
-constexpr OperationKey kNotQueued = 0;
-
 /** @return text of the refusal for the caller */
 std::string_view
 TextOf(RefusalReason aReason)
@@ -67,8 +64,8 @@
     return found->second;
   };
   std::vector<WaitingStatement> waiting;
-  const auto add = [&](OperationKey aKey, const Operation& aOperation) {
-    waiting.push_back({ aKey,
+  const auto add = [&](const Operation& aOperation) {
+    waiting.push_back({ aOperation.mKey,
                         indexOf(aOperation.mCustomer),
                         aOperation.mRoute.mPriority,
                         NeedsPrimaryNow(aOperation),
@@ -83,10 +80,10 @@
   for (const OperationKey key : aGroup.mWaiting.Keys()) {
     const Operation& operation = mOperations.at(key);
     isQueued = isQueued || &operation == aNew;
-    add(key, operation);
+    add(operation);
   }
   if (!isQueued) {
-    add(kNotQueued, *aNew);
+    add(*aNew);
   }
   for (const auto& [key, operation] : mOperations) {
     if (operation.mIsInFlight && operation.mGroup == aGroup.mLimits.mName) {
@@ -112,9 +109,7 @@
 {
   Group& group = mGroups[aOperation.mGroup];
   const auto isWanted = [&](const PlannedStatement& aPlanned) {
-    const auto found = mOperations.find(aPlanned.mKey);
-    return found == mOperations.end() ? aPlanned.mKey == kNotQueued
-                                      : &found->second == &aOperation;
+    return aPlanned.mKey == aOperation.mKey;
   };
   const auto planned = std::find_if(group.mPlan.begin(), group.mPlan.end(), isWanted);
   if (planned == group.mPlan.end()) {
--- a/tests/auto/proxy/tst_homemonitor.cpp
+++ b/tests/auto/proxy/tst_homemonitor.cpp
@@ -40,6 +40,16 @@
     return hooks;
   }
 
+  /** Ends the connection to a home that has answered all statements, and accepts no
+   * further one. */
+  void Lose(const std::string& aHome)
+  {
+    mUnreachable.insert(aHome);
+    mMonitor.OnSent(aHome, mNow);
+    mMonitor.OnFinished(aHome);
+    mMonitor.OnDisconnected(aHome, mNow);
+  }
+
   void Run(Duration aTime)
   {
     const TimePoint end = mNow + aTime;
@@ -124,10 +134,7 @@
 TEST_CASE("a home without a connection is unresponsive until a ping opens one")
 {
   MonitorSimulation simulation;
-  simulation.mUnreachable.insert("home");
-  simulation.mMonitor.OnSent("home", simulation.mNow);
-  simulation.mMonitor.OnFinished("home");
-  simulation.mMonitor.OnDisconnected("home", simulation.mNow);
+  simulation.Lose("home");
   REQUIRE_FALSE(simulation.mMonitor.IsResponsive("home"));
   simulation.Run(8s);
   REQUIRE_FALSE(simulation.mMonitor.IsResponsive("home"));
@@ -143,10 +150,7 @@
 TEST_CASE("a home that returns within a second is found within 600 ms")
 {
   MonitorSimulation simulation;
-  simulation.mUnreachable.insert("home");
-  simulation.mMonitor.OnSent("home", simulation.mNow);
-  simulation.mMonitor.OnFinished("home");
-  simulation.mMonitor.OnDisconnected("home", simulation.mNow);
+  simulation.Lose("home");
   simulation.Run(1s);
   simulation.mUnreachable.clear();
   simulation.Run(600ms);
@@ -158,10 +162,7 @@
 TEST_CASE("an unlisted home is not pinged, and counts as responsive when it is listed")
 {
   MonitorSimulation simulation;
-  simulation.mUnreachable.insert("home");
-  simulation.mMonitor.OnSent("home", simulation.mNow);
-  simulation.mMonitor.OnFinished("home");
-  simulation.mMonitor.OnDisconnected("home", simulation.mNow);
+  simulation.Lose("home");
   simulation.mMonitor.RemoveUnlisted([](const std::string&) { return false; });
   REQUIRE(simulation.mChanges.back() == std::pair<std::string, bool>("home", true));
   simulation.Run(3s);
