--- a/src/libs/proxy/admission/operationqueue.cpp
+++ b/src/libs/proxy/admission/operationqueue.cpp
@@ -90,15 +90,6 @@
     }));
 }
 
-std::optional<Duration>
-OperationQueue::PredictedWait(OperationKey aKey,
-                              const OperationClass& aClass,
-                              const WorkEstimates& aEstimates,
-                              std::span<const MemberThroughput> aCandidates) const
-{
-  return PredictWait(CountAhead(aKey, aClass, aEstimates), aCandidates);
-}
-
 std::uint32_t
 OperationQueue::CountOf(std::string_view aCustomer, bool aNeedsPrimary) const
 {
--- a/src/libs/proxy/admission/operationqueue.h
+++ b/src/libs/proxy/admission/operationqueue.h
@@ -1,15 +1,12 @@
 #pragma once
 
 #include "core/timetypes.h"
-#include "proxy/admission/memberthroughput.h"
 #include "proxy/admission/workestimates.h"
 #include "proxy/keys.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,13 +63,6 @@
   [[nodiscard]] std::size_t CountAhead(OperationKey aKey,
                                        const OperationClass& aClass,
                                        const WorkEstimates& aEstimates) const;
-  /** @return predicted time until a candidate can run the operation, or nothing when
-   * there is no candidate */
-  [[nodiscard]] std::optional<Duration> PredictedWait(
-    OperationKey aKey,
-    const OperationClass& aClass,
-    const WorkEstimates& aEstimates,
-    std::span<const MemberThroughput> aCandidates) const;
   /** @return number of the customer's operations that compete for the same members */
   [[nodiscard]] std::uint32_t CountOf(std::string_view aCustomer,
                                       bool aNeedsPrimary) const;
--- a/tests/auto/proxy/tst_operationqueue.cpp
+++ b/tests/auto/proxy/tst_operationqueue.cpp
@@ -1,5 +1,6 @@
 // Tests the queue of operations that wait for a connection, without members or sessions.
 
+#include "proxy/admission/memberthroughput.h"
 #include "proxy/admission/operationqueue.h"
 
 #include <catch2/catch.hpp>
@@ -201,18 +202,18 @@
 {
   OperationQueue queue;
   const OperationClass read{ 1, kRead, false };
-  REQUIRE(!queue.PredictedWait(1, read, {}, {}));
+  REQUIRE(!PredictWait(queue.CountAhead(1, read, {}), {}));
   const MemberThroughput one[] = { { 2, 20ms } };
-  REQUIRE(queue.PredictedWait(1, read, {}, one) == Duration(10ms));
+  REQUIRE(PredictWait(queue.CountAhead(1, read, {}), one) == Duration(10ms));
   queue.Add(Entry(1, 1ms));
   queue.Add(Entry(2, 2ms));
   queue.Add(Entry(3, 3ms));
-  REQUIRE(queue.PredictedWait(1, read, {}, one) == Duration(30ms));
+  REQUIRE(PredictWait(queue.CountAhead(1, read, {}), one) == Duration(30ms));
   const MemberThroughput two[] = { { 2, 20ms }, { 4, 20ms } };
-  REQUIRE(queue.PredictedWait(1, read, {}, two) == Duration(10ms));
+  REQUIRE(PredictWait(queue.CountAhead(1, read, {}), two) == Duration(10ms));
   // A member that has answered nothing yet doesn't make the wait zero.
   const MemberThroughput fast[] = { { 1, 0ms } };
-  REQUIRE(queue.PredictedWait(1, read, {}, fast) == Duration(3ms));
+  REQUIRE(PredictWait(queue.CountAhead(1, read, {}), fast) == Duration(3ms));
 }
 
 // Guards against connections that are opened for the waiting operations of others.
