--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -163,10 +163,10 @@
         self.on_call = lambda call: None
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, HOST, 0)
+        server = await asyncio.start_server(self.serve, HOST, 0)
         self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
-    async def _serve(self, reader, writer):
+    async def serve(self, reader, writer):
         try:
             while True:
                 _, _, headers, body = await read_request(reader)
@@ -567,24 +567,28 @@
 
 
 class Writers:
-    """Clients that write items, each once, in sessions that they keep open."""
+    """Clients that write items, each once, or read them, in sessions that they keep open."""
 
     def __init__(self, record, database):
         self.record, self.database = record, database
         self.acknowledged, self.outcomes = {}, {}
         self.count = itertools.count(1)
         self.is_stopped = False
+        self.on_sent = lambda instance, ident: None
 
-    async def run(self, instance, pause_s):
+    async def run(self, instance, pause_s, verb="WRITE"):
         client = Client(instance, self.database)
         while not self.is_stopped:
             item = f"k{next(self.count)}"
             try:
                 if client.writer is None:
                     await client.open()
-                self.record(f"{instance.name} <- WRITE {item}")
-                await client.query(f"{item:0>16}", f"WRITE {item} x{item}")
-                self.acknowledged[item] = time.monotonic()
+                text = f"WRITE {item} x{item}" if verb == "WRITE" else f"READ {item}"
+                self.record(f"{instance.name} <- {text}")
+                self.on_sent(instance, f"{item:0>16}")
+                await client.query(f"{item:0>16}", text)
+                if verb == "WRITE":
+                    self.acknowledged[item] = time.monotonic()
                 outcome = "acknowledged"
             except Refused as refusal:
                 outcome = refusal.args[0]
@@ -621,6 +625,7 @@
         self.group = Group(self.store, self.record, sync=sync)
         self.cloud.groups[self.group.name] = self.group
         self.routes, self.count, self.sync = routes, instances, sync
+        self.cloud_address = None
         self.bounds = {
             "seedLagS": 3, "reuseDelayS": 2, "stabilityWindowMs": 4000, "ackTimeoutMs": 5000, "catchupS": 4,
             "drainTimeoutMs": 7000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000, "rollbackSlackMs": 250,
@@ -643,7 +648,7 @@
         self.store.put("op", "config", json.dumps(config).encode())
         self.instances = [
             Instance(self.root, self.directory, f"frontend-{ZONES[n % 3]}-{n // 3 + 1}", ZONES[n % 3], self.bounds,
-                     self.store.address, self.cloud.address) for n in range(self.count)
+                     self.store.address, self.cloud_address or self.cloud.address) for n in range(self.count)
         ]
         for instance in self.instances:
             await instance.start()
@@ -673,3 +678,50 @@
     except Exception as failure:
         print(f"could not run: {failure!r}")
         return 2
+
+
+class Door:
+    """The address of a service. While it is dark, a connection to it is neither accepted nor refused: opening packets
+    are dropped and sent again by the caller's kernel."""
+
+    def __init__(self, target):
+        self.target, self.fillers = target, []
+        self.socket = socket.socket()
+        self.socket.setblocking(False)
+        self.socket.bind((HOST, 0))
+        self.socket.listen(128)
+        self.address = f"{HOST}:{self.socket.getsockname()[1]}"
+        self.tasks = set()
+        asyncio.get_running_loop().add_reader(self.socket, self._accept)
+
+    def go_dark(self):
+        asyncio.get_running_loop().remove_reader(self.socket)
+        self.socket.listen(0)
+        # These connections fill the queue of those that are not accepted yet.
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.socket.getsockname())
+            self.fillers.append(filler)
+
+    def come_back(self):
+        for filler in self.fillers:
+            filler.close()
+        self.fillers = []
+        self.socket.listen(128)
+        asyncio.get_running_loop().add_reader(self.socket, self._accept)
+
+    def _accept(self):
+        try:
+            while True:
+                accepted, _ = self.socket.accept()
+                accepted.setblocking(False)
+                task = asyncio.ensure_future(self._serve(accepted))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+        except BlockingIOError:
+            pass
+
+    async def _serve(self, accepted):
+        reader, writer = await asyncio.open_connection(sock=accepted)
+        await self.target(reader, writer)
