--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -20,6 +20,7 @@
 NO_EFFECT = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 ZONES = ["zone-a", "zone-b", "zone-c"]
 LINK_S = 0.0015  # one way between two members
+OLD_PRIMARY_S = 1.0  # where nobody fences, a replaced primary goes on for this long
 
 
 class Record:
@@ -166,7 +167,7 @@
         try:
             while True:
                 _, _, headers, body = await read_request(reader)
-                status = self._promote(headers, json.loads(body))
+                status = self.promote(headers, body)
                 respond(writer, status, {})
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -174,7 +175,8 @@
         finally:
             writer.close()
 
-    def _promote(self, headers, body):
+    def promote(self, headers, text):
+        body = json.loads(text)
         group = self.groups[body["backend"]]
         token, holder = int(headers["x-fencing-token"]), headers["x-lease-holder"]
         newest = self.newest.get(group.name, 0)
@@ -271,7 +273,7 @@
     def receive(self):
         """Takes over the leader's log over the network."""
         leader = self.group.leader
-        if leader is self or not self.receives() or not leader.is_alive or not leader.is_primary:
+        if leader is self or self.is_primary or not self.receives() or not leader.is_alive:
             return
         if self.log != leader.log[: len(self.log)]:
             common = 0
@@ -305,6 +307,8 @@
         self.log.append((self.term, self.group.number, dict(writes)))
         for item in writes:
             self.group.committed[item] = time.monotonic()
+            if self is not self.group.leader:
+                self.group.stale_commits[item] = self.name
         count = len(self.log)
         for other in self.group.members.values():
             if other is not self:
@@ -429,7 +433,9 @@
         self.term, self.number = 1, 0
         self.signatures = itertools.count(1)
         self.members = {}
-        self.committed = {}  # when each item was committed at a leader
+        self.committed = {}  # when each item was committed
+        self.stale_commits = {}  # items that were committed at a member after the promotion of another one
+        self.is_fenced = True  # the platform ends the old leadership
         self.promotions = []  # (time, member, items in its log at that moment, leader replaced)
         self.on_statement = lambda member, ident, query: None
         self.leader = None
@@ -451,13 +457,22 @@
                     f"{self.leader.name}, had {self.leader.last()}; {len(lost)} of its commits are missing")
         self.term += 1
         old, self.leader = self.leader, member
-        old.lose_lead()
+        if self.is_fenced:
+            old.lose_lead()
+        elif old.is_primary:
+            asyncio.get_running_loop().call_later(OLD_PRIMARY_S, self.step_down, old)
         member.is_primary, member.term = True, self.term
         for other in self.members.values():
             other.held = 0
         old.report()
         member.report()
 
+    def step_down(self, old):
+        if old is not self.leader and old.is_primary:
+            self.record(f"member {old.name} has reached the new leader and steps down, received {old.last()}")
+            old.lose_lead()
+            old.report()
+
     async def run(self):
         """Heartbeats, and replication to members that have fallen behind."""
         for tick in itertools.count():
@@ -620,6 +635,7 @@
         self.cloud = Cloud(self.record, is_fenced, promote_s)
         self.group = Group(self.store, self.record, sync=sync)
         self.cloud.groups[self.group.name] = self.group
+        self.group.is_fenced = is_fenced
         self.routes, self.count, self.sync = routes, instances, sync
         self.cloud_address = None
         self.bounds = {
