--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -202,6 +202,7 @@
         self.is_primary, self.is_alive, self.is_draining = is_primary, False, False
         self.is_listed = False
         self.is_deaf = False  # receives nothing
+        self.is_cut = False  # can't reach the store
         self.log, self.term, self.held, self.seq = [], group.term, 0, 0
         self.applied_at = {}
         self.waiting = []  # (position, future) of commits that wait for replicas
@@ -233,6 +234,18 @@
         self.group.record(f"member {self.name} starts again as {self.role()}, received {self.last()}")
         await self.start()
 
+    def cut(self, seconds):
+        """The store can't be reached: the entry stays until three heartbeats are missed."""
+        self.is_cut = True
+        self.group.record(f"member {self.name} is partitioned from the store for {seconds} s")
+        loop = asyncio.get_running_loop()
+        loop.call_later(3.6, lambda: self.is_cut and self.unlist())
+        loop.call_later(seconds, self.heal)
+
+    def heal(self):
+        self.is_cut = False
+        self.report()
+
     def leave(self):
         self.group.record(f"member {self.name} has left")
         self.is_alive = False
@@ -254,7 +267,7 @@
         return "primary" if self.is_primary else "replica"
 
     def report(self):
-        if not self.is_alive:
+        if not self.is_alive or self.is_cut:
             return
         self.seq += 1
         row = {
