--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import tempfile
@@ -349,6 +350,7 @@
                 text = (await reader.readuntil(b"\r\n"))[:-2].decode()
                 _, ident, query = text.split(" ", 2)
                 if ident != "-":
+                    self.group.record(f"{self.name} runs {ident} {query}")
                     self.group.on_statement(self, ident, query)
                 answer = await self._run(session, query)
                 if answer is None:
@@ -608,7 +610,7 @@
                 if client.writer is None:
                     await client.open()
                 text = f"WRITE {item} x{item}" if verb == "WRITE" else f"READ {item}"
-                self.record(f"{instance.name} <- {text}")
+                self.record(f"{instance.name} <- {item:0>16} {text}")
                 self.on_sent(instance, f"{item:0>16}")
                 await client.query(f"{item:0>16}", text)
                 if verb == "WRITE":
@@ -675,9 +677,13 @@
             Instance(self.root, self.directory, f"frontend-{ZONES[n % 3]}-{n // 3 + 1}", ZONES[n % 3], self.bounds,
                      self.store.address, self.cloud_address or self.cloud.address) for n in range(self.count)
         ]
-        for instance in self.instances:
-            await instance.start()
-        await self.until_ready(15)
+        try:
+            for instance in self.instances:
+                await instance.start()
+            await self.until_ready(15)
+        except BaseException:
+            await self.__aexit__()
+            raise
         self.record("all processes of the system are ready")
         return self
 
@@ -685,7 +691,7 @@
         end = time.monotonic() + limit_s
         while not all([await i.is_ready() for i in self.instances]):
             if time.monotonic() > end:
-                raise RuntimeError(f"the processes are not ready; logs in {self.directory}")
+                raise RuntimeError("the processes are not ready")
             await asyncio.sleep(0.1)
 
     async def __aexit__(self, *_):
@@ -694,6 +700,7 @@
             if instance.process:
                 instance.send(signal.SIGCONT)
                 await instance.kill()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
 def run(main, limit_s):
