--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-for file in standins-2/*.py [6-9]/*.py 10/*.py more/*.py; do
+for file in standins-2/*.py [6-9]/*.py 10/*.py; do
   [ -e "$file" ] || continue
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
