--- a/src/libs/proxy/leadership/leaderleases.cpp
+++ b/src/libs/proxy/leadership/leaderleases.cpp
@@ -4,6 +4,7 @@
 #include "proxy/leadership/leasetimes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaspindle::proxy {
 
@@ -24,8 +25,8 @@
 
 } // namespace
 
-LeaderLeases::LeaderLeases(LeadershipEnforcer aEnforcer)
-  : mEnforcer(aEnforcer)
+LeaderLeases::LeaderLeases(std::function<bool(std::string_view aGroup)> aAreNeeded)
+  : mAreNeeded(std::move(aAreNeeded))
 {
 }
 
@@ -115,7 +116,7 @@
                          std::string_view aMember,
                          TimePoint aNow) const
 {
-  if (!AreNeeded()) {
+  if (!AreNeeded(aGroup)) {
     return true;
   }
   if (aGroup.empty() || aMember.empty()) {
--- a/src/libs/proxy/leadership/leaderleases.h
+++ b/src/libs/proxy/leadership/leaderleases.h
@@ -5,6 +5,7 @@
 #include "proxy/rowstore.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -23,17 +24,30 @@
   Instances,
 };
 
+/**
+ * Decides whether the instances terminate the leadership of a member before they call the
+ * platform to promote another one (LeadershipTransfer).
+ *
+ * With synchronous replicas, they do so on every platform: a commit that the old leader
+ * acknowledges after its successor was chosen isn't in the successor's log.
+ */
+constexpr bool
+IsTerminatedByInstances(LeadershipEnforcer aEnforcer, std::uint32_t aSynchronousReplicas)
+{
+  return aEnforcer == LeadershipEnforcer::Instances || aSynchronousReplicas > 0;
+}
+
 /**
  * This instance's leases on the leaders of its groups. A valid lease guarantees that no
  * other member leads the group.
  *
- * Where the platform doesn't stop a replaced leader, an instance may acknowledge commits
- * of a leader and read from it only while it holds a lease on it. A lease expires
- * kLeaderLease after the request for the proof that it is based on was sent. A proof is
- * a read of the store that shows no newer claim or, while the lease is still valid, the
- * status of a follower that isn't paused. An instance that promotes a member first writes
- * its claim, then pauses the followers, and waits until all leases granted before have
- * expired (LeadershipTransfer).
+ * Where the instances terminate the leadership of a replaced leader, an instance may
+ * acknowledge commits of a leader and read from it only while it holds a lease on it. A
+ * lease expires kLeaderLease after the request for the proof that it is based on was
+ * sent. A proof is a read of the store that shows no newer claim or, while the lease is
+ * still valid, the status of a follower that isn't paused. An instance that promotes a
+ * member first writes its claim, then pauses the followers, and waits until all leases
+ * granted before have expired (LeadershipTransfer).
  *
  * Renewals by followers can't outlast a pause of all followers for kLeaderLease, because
  * each proof is requested within kLeaderLease of the previous one.
@@ -44,7 +58,9 @@
 class LeaderLeases
 {
 public:
-  explicit LeaderLeases(LeadershipEnforcer aEnforcer);
+  /** @param aAreNeeded returns whether the leader of a group may only be used with a
+   * lease on it */
+  explicit LeaderLeases(std::function<bool(std::string_view aGroup)> aAreNeeded);
 
   /** Updates the leaders from rows of the coordination table: all rows, or those that
    * have changed. */
@@ -66,10 +82,10 @@
                         TimePoint aAskedAt,
                         TimePoint aNow);
 
-  /** @return whether a leader may only be used with a lease on it */
-  [[nodiscard]] bool AreNeeded() const
+  /** @return whether the group's leader may only be used with a lease on it */
+  [[nodiscard]] bool AreNeeded(std::string_view aGroup) const
   {
-    return mEnforcer == LeadershipEnforcer::Instances;
+    return mAreNeeded(aGroup);
   }
   /** @return whether this instance holds a valid lease on the member as the leader of the
    * group, or needs none; no lease is held without a group or a member */
@@ -94,7 +110,7 @@
     TimePoint mFollowerLeaseExpiry;
   };
 
-  LeadershipEnforcer mEnforcer;
+  std::function<bool(std::string_view aGroup)> mAreNeeded;
   /** OnRows was called. */
   bool mHasRows = false;
   /** When the last successful read of the rows was sent. */
--- a/src/libs/proxy/leadership/leadershiptransfer.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer.cpp
@@ -62,10 +62,13 @@
 {
   std::vector<TransferCommand> commands;
   for (auto& [member, follower] : mFollowers) {
-    const bool isPaused = aKind == CommandKind::Pause && follower.mPausedAt;
-    if (follower.mIsAwaitingReply || isPaused || aNow < follower.mNextCommandAt) {
+    const bool isDone = mStep == Step::Reporting
+                          ? follower.mFinalPosition.has_value()
+                          : aKind == CommandKind::Pause && follower.mPausedAt;
+    if (follower.mIsAwaitingReply || isDone || aNow < follower.mNextCommandAt) {
       continue;
     }
+    const CommandKind kind = CommandFor(follower, aKind);
     follower.mIsAwaitingReply = true;
     // A former leader that is not aware of its successor ignores the pause command, and
     // counts for acknowledgements like any other member.
@@ -74,13 +77,27 @@
                                 follower.mStatus->mRole == MemberRole::Primary;
     MemberCommand command;
     command.mKind =
-      aKind == CommandKind::Pause && isFormerLeader ? CommandKind::Demote : aKind;
-    command.mTerm = aKind == CommandKind::Status ? 0 : mRequest.mNextTerm;
+      kind == CommandKind::Pause && isFormerLeader ? CommandKind::Demote : kind;
+    const bool hasTerm =
+      command.mKind == CommandKind::Pause || command.mKind == CommandKind::Demote;
+    command.mTerm = hasTerm ? mRequest.mNextTerm : 0;
     commands.push_back({ member, std::move(command) });
   }
   return commands;
 }
 
+CommandKind
+LeadershipTransfer::CommandFor(const Follower& aFollower, CommandKind aKind) const
+{
+  // A pause command would hide that a restart has ended the pause.
+  if (mStep == Step::Reporting && aFollower.mPausedAt) {
+    return CommandKind::Status;
+  }
+  // A follower that an earlier attempt has left paused can't receive the last commits.
+  const bool isPaused = aFollower.mStatus && aFollower.mStatus->mPausedTerm > 0;
+  return mStep == Step::CatchingUp && isPaused ? CommandKind::Resume : aKind;
+}
+
 TransferCommand
 LeadershipTransfer::DemoteCommand()
 {
@@ -109,6 +126,8 @@
   for (auto& [member, follower] : mFollowers) {
     // A status that was requested before may lack the last acknowledged commits.
     follower.mIsReplyOutdated = follower.mIsAwaitingReply;
+    follower.mFinalPosition.reset();
+    follower.mNextCommandAt = aNow;
   }
   return SendToFollowers(CommandKind::Status, aNow);
 }
@@ -128,6 +147,29 @@
   return commands;
 }
 
+std::vector<TransferCommand>
+LeadershipTransfer::StartReporting(TimePoint aNow)
+{
+  mStep = Step::Reporting;
+  mReportingSince = aNow;
+  for (auto& [member, follower] : mFollowers) {
+    // A follower that has restarted since its last report isn't paused any more, and may
+    // have received commits that were acknowledged since.
+    follower.mFinalPosition.reset();
+    follower.mIsReplyOutdated = follower.mIsAwaitingReply;
+    follower.mNextCommandAt = aNow;
+  }
+  return PauseFollowers(aNow);
+}
+
+std::vector<TransferCommand>
+LeadershipTransfer::PauseFollowers(TimePoint aNow)
+{
+  std::vector<TransferCommand> commands = SendToFollowers(CommandKind::Pause, aNow);
+  QueryOldLeader(commands, aNow);
+  return commands;
+}
+
 void
 LeadershipTransfer::QueryOldLeader(std::vector<TransferCommand>& aCommands,
                                    TimePoint aNow)
@@ -170,8 +212,10 @@
   if (isAnswered && !isOutdated) {
     RecordStatus(follower, *aReply->mStatus, aKind == CommandKind::Pause, aNow);
   }
-  const bool isPauseDue = mStep == Step::Pausing && !follower.mPausedAt;
-  follower.mNextCommandAt = aNow + (isPauseDue ? kPauseRetryDelay : kCatchUpPollInterval);
+  const bool isPauseDue =
+    (mStep == Step::Pausing || mStep == Step::Reporting) && !follower.mPausedAt;
+  const Duration delay = isPauseDue ? kPauseRetryDelay : kCatchUpPollInterval;
+  follower.mNextCommandAt = isOutdated ? aNow : aNow + delay;
   const bool leads = isAnswered && aReply->mStatus->mRole == MemberRole::Primary;
   const bool isReplaced = aMember == mRequest.mReplaced;
   if (isAnswered && aMember == mRequest.mPendingMember && (leads || isReplaced)) {
@@ -204,7 +248,13 @@
   if (aIsPauseReply && aStatus.mPausedTerm > 0 && !aFollower.mPausedAt) {
     aFollower.mPausedAt = aNow;
   }
-  if (mStep == Step::CatchingUp || (mStep == Step::Pausing && aFollower.mPausedAt)) {
+  const bool isPaused = aFollower.mPausedAt && aStatus.mPausedTerm > 0;
+  if (mStep == Step::Reporting && aFollower.mPausedAt && !isPaused) {
+    // A restart has ended the pause, and the follower may have renewed leases since.
+    aFollower.mPausedAt.reset();
+  }
+  if (mStep == Step::CatchingUp || (mStep == Step::Pausing && aFollower.mPausedAt) ||
+      (mStep == Step::Reporting && isPaused)) {
     aFollower.mFinalPosition =
       std::max(aFollower.mFinalPosition.value_or(LogPosition()), aStatus.mReceived);
   }
@@ -250,11 +300,11 @@
   }
   mIsDemoted = true;
   mFinalPosition = aReply->mStatus->mReceived;
-  if (mStep == Step::Demoting) {
+  const bool isPausing = mStep == Step::Pausing || mStep == Step::Reporting;
+  if (mStep == Step::Demoting || (IsSynchronous() && isPausing)) {
     return StartCatchingUp(mFinalPosition, aNow);
   }
-  EvaluatePause(aNow);
-  return {};
+  return OnTimer(aNow);
 }
 
 std::vector<TransferCommand>
@@ -274,15 +324,25 @@
       return mOutcome == Outcome::Pending ? SendToFollowers(CommandKind::Status, aNow)
                                           : std::vector<TransferCommand>();
     case Step::Pausing:
+      if (!IsOldLeadershipOver(aNow)) {
+        break;
+      }
+      if (!mIsDemoted) {
+        return StartReporting(aNow);
+      }
+      EvaluateReports(aNow);
+      break;
+    case Step::Reporting:
+      if (!IsOldLeadershipOver(aNow)) {
+        mStep = Step::Pausing;
+      } else if (IsSynchronous() || HavePausedFollowersReported() ||
+                 aNow - mReportingSince >= kCandidateReplyTimeout) {
+        EvaluateReports(aNow);
+      }
       break;
   }
-  EvaluatePause(aNow);
-  if (mOutcome != Outcome::Pending) {
-    return {};
-  }
-  std::vector<TransferCommand> commands = SendToFollowers(CommandKind::Pause, aNow);
-  QueryOldLeader(commands, aNow);
-  return commands;
+  return mOutcome == Outcome::Pending ? PauseFollowers(aNow)
+                                      : std::vector<TransferCommand>();
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/leadership/leadershiptransfer.h
+++ b/src/libs/proxy/leadership/leadershiptransfer.h
@@ -48,6 +48,9 @@
   std::uint32_t mSynchronousReplicas = 0;
   /** Member that an unanswered promotion call may still promote; empty for none. */
   std::string mPendingMember;
+  /** The platform refuses calls with tokens below the newest one, so that an unanswered
+   * call has no effect after the call of this transfer. */
+  bool mAreCallsFenced = false;
   /** A term above all terms seen in the group. */
   std::uint64_t mNextTerm = 0;
   /** Time from which every read of the store returns the claim. */
@@ -68,7 +71,10 @@
  * An old leader that can be reached is demoted, and the transfer waits until a replica
  * has received all its commits. Otherwise the transfer pauses all followers and waits
  * until no instance can hold a lease on the old leader (LeaderLeases). In both cases the
- * new leader has all acknowledged commits of a group with synchronous replicas.
+ * new leader has all acknowledged commits of a group with synchronous replicas: only what
+ * the followers report after the end of the old leadership counts. Until then, the old
+ * leader may acknowledge commits that a follower has received after its restart, which
+ * ends its pause, or before the transfer has asked it.
  *
  * Each event function takes the current time and returns the commands to send.
  */
@@ -122,6 +128,8 @@
     CatchingUp,
     /** Followers are paused until the leases on the old leader have expired. */
     Pausing,
+    /** The old leadership has ended, and the followers report what they have received. */
+    Reporting,
   };
 
   struct Follower
@@ -143,6 +151,9 @@
   };
 
   std::vector<TransferCommand> SendToFollowers(CommandKind aKind, TimePoint aNow);
+  /** @return the command for a follower in the current step, in place of aKind */
+  [[nodiscard]] CommandKind CommandFor(const Follower& aFollower,
+                                       CommandKind aKind) const;
   TransferCommand DemoteCommand();
   /** Asks the old leader whether it leads, if the transfer takes longer than usual. */
   void QueryOldLeader(std::vector<TransferCommand>& aCommands, TimePoint aNow);
@@ -154,8 +165,15 @@
   std::vector<TransferCommand> OnDemoteReply(const std::optional<MemberReply>& aReply,
                                              TimePoint aNow);
   std::vector<TransferCommand> EvaluateSwitchover(TimePoint aNow);
+  std::vector<TransferCommand> StartReporting(TimePoint aNow);
   void EvaluateCatchUp(TimePoint aNow);
-  void EvaluatePause(TimePoint aNow);
+  /** Chooses a target, or fails the transfer if it has waited for too long. */
+  void EvaluateReports(TimePoint aNow);
+  /** @return whether no instance can have a commit of the old leader acknowledged or read
+   * from it any more */
+  [[nodiscard]] bool IsOldLeadershipOver(TimePoint aNow) const;
+  /** Sends the commands that are due in the steps Pausing and Reporting. */
+  std::vector<TransferCommand> PauseFollowers(TimePoint aNow);
   /** Updates the follower from a status that it has reported. */
   void RecordStatus(Follower& aFollower,
                     const MemberStatus& aStatus,
@@ -164,6 +182,8 @@
   /** Discards the pauses for terms that another promotion has reached meanwhile. */
   void RepeatOutdatedPauses();
   [[nodiscard]] bool HaveAllFollowersReplied() const;
+  /** @return whether all paused followers have reported in the step Reporting */
+  [[nodiscard]] bool HavePausedFollowersReported() const;
   [[nodiscard]] bool IsSynchronous() const { return mRequest.mSynchronousReplicas > 0; }
   /** @return the follower to promote: the pending member, or the candidate that has
    * received most; end() if none has answered, or none is known to have all acknowledged
@@ -178,6 +198,8 @@
   Outcome mOutcome = Outcome::Pending;
   std::map<std::string, Follower, std::less<>> mFollowers;
   TimePoint mStepStartedAt;
+  /** Start of the step Reporting. */
+  TimePoint mReportingSince;
   bool mMayHaveDemoted = false;
   /** The old leader has replied that it is a replica. */
   bool mIsDemoted = false;
--- a/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
@@ -49,12 +49,13 @@
   }
 }
 
-void
-LeadershipTransfer::EvaluatePause(TimePoint aNow)
+bool
+LeadershipTransfer::IsOldLeadershipOver(TimePoint aNow) const
 {
-  if (!mRequest.mPendingMember.empty() && !mFollowers[mRequest.mPendingMember].mStatus &&
+  const std::string& pending = mRequest.mPendingMember;
+  if (!pending.empty() && !mRequest.mAreCallsFenced && !mFollowers.at(pending).mStatus &&
       aNow - mRequest.mClaimedAt < kLateCallWindow) {
-    return;
+    return false;
   }
   TimePoint pausedSince = mRequest.mClaimedAt;
   bool areAllPaused = true;
@@ -67,19 +68,30 @@
   }
   // A leader that has stepped down serves no instance, so there is no need to wait for
   // leases to expire.
-  const bool isOver =
-    mIsDemoted ? areAllPaused || aNow - mStepStartedAt >= kCandidateReplyTimeout
-               : (areAllPaused && aNow - pausedSince > kLeaderLease) ||
-                   aNow - mRequest.mClaimedAt > kFollowerProofLimit + kStoreContactError;
-  if (!isOver || ChooseTarget()) {
-    return;
+  if (mIsDemoted) {
+    return areAllPaused || aNow - mStepStartedAt >= kCandidateReplyTimeout;
   }
-  if (aNow - mRequest.mClaimedAt >
-      kFollowerProofLimit + kStoreContactError + kTransferTimeout) {
+  return (areAllPaused && aNow - pausedSince > kLeaderLease) ||
+         aNow - mRequest.mClaimedAt > kFollowerProofLimit + kStoreContactError;
+}
+
+void
+LeadershipTransfer::EvaluateReports(TimePoint aNow)
+{
+  if (!ChooseTarget() && aNow - mRequest.mClaimedAt >
+                           kFollowerProofLimit + kStoreContactError + kTransferTimeout) {
     mOutcome = Outcome::Failed;
   }
 }
 
+bool
+LeadershipTransfer::HavePausedFollowersReported() const
+{
+  return std::all_of(mFollowers.begin(), mFollowers.end(), [](const auto& aFollower) {
+    return !aFollower.second.mPausedAt || aFollower.second.mFinalPosition;
+  });
+}
+
 bool
 LeadershipTransfer::HaveAllFollowersReplied() const
 {
@@ -97,7 +109,10 @@
     const TransferFollower& described = state.mDescription;
     const bool follows = state.mStatus && state.mStatus->mRole == MemberRole::Replica;
     const bool mayLead = described.mMayLead && !described.mIsDraining;
-    if (member == mRequest.mPendingMember && state.mStatus && (!follows || mayLead)) {
+    // Where calls are fenced, another member may be promoted in place of the pending one.
+    const bool isPreferred =
+      !follows || (mayLead && !(mRequest.mAreCallsFenced && IsSynchronous()));
+    if (member == mRequest.mPendingMember && state.mStatus && isPreferred) {
       return follower;
     }
     if (member == mRequest.mReplaced || !state.mIsListed) {
--- a/src/libs/proxy/leadership/leasekeeper.cpp
+++ b/src/libs/proxy/leadership/leasekeeper.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+/** Interval of the checks while no group needs leases. */
+constexpr Duration kIdleInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -26,17 +28,16 @@
 void
 LeaseKeeper::OnTimer(TimePoint aNow)
 {
-  if (!mLeases.AreNeeded()) {
-    mNextCheck = TimePoint::max();
-    return;
-  }
   if (aNow < mNextCheck) {
     return;
   }
-  mNextCheck = aNow + kCheckInterval;
+  std::vector<std::string> groups = mHooks.mGroups();
+  std::erase_if(groups,
+                [this](const std::string& aGroup) { return !mLeases.AreNeeded(aGroup); });
+  mNextCheck = aNow + (groups.empty() ? kIdleInterval : kCheckInterval);
   bool needsStore = false;
   bool isAnyClaimed = false;
-  for (const std::string& group : mHooks.mGroups()) {
+  for (const std::string& group : groups) {
     Renewal& renewal = mRenewals[group];
     if (!renewal.mIsQueryPending && aNow - renewal.mQueriedAt >= kLeaseRenewalInterval) {
       QueryFollower(group, renewal, aNow);
--- a/src/libs/proxy/leadership/pausecheck.h
+++ b/src/libs/proxy/leadership/pausecheck.h
@@ -13,8 +13,6 @@
 {
   /** Revision of the leadership row that the findings belong to. */
   std::uint64_t mRevision = 0;
-  /** Since when this process has known the row. */
-  TimePoint mSince;
   /** Members that receive log entries. */
   std::set<std::string> mReceiving;
   std::set<std::string> mPaused;
--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -29,8 +29,7 @@
       // leadership row from the first read is treated as new, because it may have been
       // written just before.
       const auto group = GroupOfLeadership(row.mKey);
-      const bool mayBeYoung =
-        group && (NeedsTransfer() || mHooks.mSynchronousReplicas(*group) > 0);
+      const bool mayBeYoung = group && NeedsTransfer(std::string(*group));
       seen.mSeenAt = mHasRows || mayBeYoung ? aNow : TimePoint();
       seen.mRow = row;
     }
@@ -64,19 +63,14 @@
   bool isActive = false;
   for (const std::string& group : mHooks.mGroups()) {
     GroupPromotion& promotion = mPromotions[group];
-    const bool isSynchronous = mHooks.mSynchronousReplicas(group) > 0;
-    if (isSynchronous && mHasRows) {
+    if (mHooks.mSynchronousReplicas(group) > 0 && mHasRows) {
       UpdateRoster(group, promotion, aNow);
     }
     if (promotion.mPhase == Phase::Monitoring) {
       MonitorPrimary(group, promotion, aNow);
     } else if (promotion.mTransfer) {
       OnTransferTimer(group, promotion, aNow);
-    } else if (promotion.mPhase == Phase::Choosing &&
-               (isSynchronous || aNow >= promotion.mReplyDeadline)) {
-      if (isSynchronous) {
-        QueryNewCandidates(group, promotion, aNow);
-      }
+    } else if (promotion.mPhase == Phase::Choosing && aNow >= promotion.mReplyDeadline) {
       ChooseMember(group, promotion, aNow);
     }
     if (promotion.mPhase == Phase::Promoting && !promotion.mIsCalling &&
@@ -107,7 +101,8 @@
   // A promotion requires the coordination rows and a replica, and must not be started on
   // the smaller side of a partition.
   const bool canPromote = mHasRows && !isCutOff && !mHooks.mReplicas(aGroup).empty();
-  if (canPromote && NeedsTransfer() && RecoverAbandonedClaim(aGroup, aPromotion, aNow)) {
+  if (canPromote && NeedsTransfer(aGroup) &&
+      RecoverAbandonedClaim(aGroup, aPromotion, aNow)) {
     return;
   }
   if (!hasReason) {
@@ -117,7 +112,7 @@
     aPromotion.mReasonSince.reset();
     if (canPromote) {
       MonitorReplicaLag(aGroup, aPromotion, health, aNow);
-      if (!NeedsTransfer()) {
+      if (!NeedsTransfer(aGroup)) {
         MonitorReservation(aGroup, aPromotion, aNow);
       }
     }
@@ -151,7 +146,7 @@
       IsConfirmedDown(aGroup, aPromotion, health, aNow)) {
     aPromotion.mReplaced = health.mMember;
     ClaimPromotion(aGroup, aPromotion, "unreachable", aNow);
-  } else if (!NeedsTransfer() && aPromotion.mStoreUnavailableSince &&
+  } else if (!NeedsTransfer(aGroup) && aPromotion.mStoreUnavailableSince &&
              aNow - *aPromotion.mReasonSince >= kStoreUnavailableDelay &&
              HasReservedToken(aGroup, aPromotion)) {
     // While the store is unavailable, no refutation can be read and no other instance can
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -66,10 +66,11 @@
  * suspicion confirmed takes the next fencing token by a conditional write, chooses the
  * replica that has received most, and calls the platform to promote it.
  *
- * Where the platform terminates the leadership of a replaced primary, a home of each
- * group holds reserved tokens, with which it can replace a primary while the store is
- * unavailable; the platform refuses a token once it has seen a newer one. Otherwise a
- * LeadershipTransfer terminates the old leadership between the claim and the call.
+ * Where the instances terminate the leadership of a replaced primary
+ * (IsTerminatedByInstances), a LeadershipTransfer does so between the claim and the call.
+ * Otherwise a home of each group holds reserved tokens, with which it can replace a
+ * primary while the store is unavailable; the platform refuses a token once it has seen a
+ * newer one.
  *
  * This class is single-threaded.
  */
@@ -107,8 +108,6 @@
     std::string mMember;
     std::optional<MemberStatus> mStatus;
     bool mIsAnswered = false;
-    /** Start time of the member's process when it was queried. */
-    std::uint64_t mStartedAtMs = 0;
   };
 
   /** State of the current or last promotion of a group. */
@@ -136,21 +135,17 @@
     /** Member that the promotion replaces. */
     std::string mReplaced;
     std::vector<Candidate> mCandidates;
-    /** The candidates were paused and have not been resumed by a promotion yet. */
-    bool mHasPausedCandidates = false;
-    /** When the candidates were first queried. */
-    TimePoint mQueriedAt;
     TimePoint mReplyDeadline;
     /** Members that count for acknowledgements; only used with synchronous replicas. */
     ReplicaRoster mRoster;
     /** Earliest time of the next write of the roster's row. */
     TimePoint mRosterWriteAt;
     PauseCheck mPauseCheck;
-    /** The replaced primary is asked whether it leads. */
+    /** A member is asked whether it leads. */
     bool mIsConfirmingLeader = false;
-    /** When the replaced primary last replied that it leads. */
+    /** When the presumed leader last replied that it leads. */
     std::optional<TimePoint> mLeaderConfirmedAt;
-    /** The replaced primary has not replied that it leads. */
+    /** The presumed leader has not replied that it leads. */
     bool mIsLeaderLost = false;
     /** The member that is promoted leads already. */
     bool mIsTargetLeading = false;
@@ -160,7 +155,8 @@
     std::uint32_t mCalls = 0;
     TimePoint mNextCallAt = TimePoint::max();
     bool mIsCalling = false;
-    /** Terminates the old leadership; only used where the instances have to do so. */
+    /** Terminates the old leadership; set from the claim to the end of the attempt where
+     * the instances have to do so. */
     std::optional<LeadershipTransfer> mTransfer;
     /** Member that an unanswered call of an earlier claim may still promote, or "-" for
      * none. */
@@ -262,10 +258,6 @@
                       const std::string& aReason,
                       TimePoint aNow);
   void QueryCandidates(const std::string& aGroup, TimePoint aNow);
-  /** Queries members that have not been queried in this attempt. */
-  void QueryNewCandidates(const std::string& aGroup,
-                          GroupPromotion& aPromotion,
-                          TimePoint aNow);
   /** @return the listed members other than the replaced one and, with synchronous
    * replicas, the members that have left the directory a short time ago */
   [[nodiscard]] std::vector<TransferFollower> FollowersOf(
@@ -291,15 +283,8 @@
   /** @return whether another process has claimed newer tokens */
   [[nodiscard]] bool IsSuperseded(const std::string& aGroup,
                                   const GroupPromotion& aPromotion) const;
-  /** Resumes replication on the paused candidates after a failed attempt. */
-  void ResumeCandidates(const std::string& aGroup,
-                        GroupPromotion& aPromotion,
-                        TimePoint aNow);
   /** Ends the current attempt and delays the next claim by aClaimDelay. */
-  void Abandon(const std::string& aGroup,
-               GroupPromotion& aPromotion,
-               Duration aClaimDelay,
-               TimePoint aNow);
+  void Abandon(GroupPromotion& aPromotion, Duration aClaimDelay, TimePoint aNow);
   [[nodiscard]] const SeenRow* FindRow(const std::string& aKey) const;
   /** @return the newest leadership row of the group, or nothing if there is none or it
    * can't be decoded */
@@ -307,9 +292,9 @@
     const std::string& aGroup) const;
   /** @return whether the instances have to terminate the leadership of a replaced primary
    */
-  [[nodiscard]] bool NeedsTransfer() const
+  [[nodiscard]] bool NeedsTransfer(const std::string& aGroup) const
   {
-    return mEnforcer == LeadershipEnforcer::Instances;
+    return IsTerminatedByInstances(mEnforcer, mHooks.mSynchronousReplicas(aGroup));
   }
 
   // Implemented in promotioncoordinator_transfer.cpp.
@@ -351,10 +336,11 @@
   /** Cancels a transfer that has not led to a promotion. Its pauses end when its claim is
    * withdrawn or another one leads to a promotion. */
   void CancelTransfer(GroupPromotion& aPromotion);
-  /** Asks the replaced primary whether it still leads; the reply sets mLeaderConfirmedAt
-   * or mIsLeaderLost. */
+  /** Asks a member whether it leads; the reply sets mLeaderConfirmedAt or mIsLeaderLost.
+   */
   void ConfirmLeader(const std::string& aGroup,
                      GroupPromotion& aPromotion,
+                     const std::string& aMember,
                      TimePoint aNow);
 
   // Implemented in promotioncoordinator_pauses.cpp.
--- a/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
@@ -29,7 +29,7 @@
     const auto current = DecodeLeadership(seen->mRow.mValue);
     if (!current) {
       mHooks.mLog(LogLevel::Error, "leadership_unreadable", { { "group", aGroup } });
-      Abandon(aGroup, aPromotion, kMinClaimInterval, aNow);
+      Abandon(aPromotion, kMinClaimInterval, aNow);
       return;
     }
     claim.mToken = current->mToken;
@@ -47,7 +47,7 @@
   if (isPromotion) {
     aPromotion.mRowSentAt = aNow;
   }
-  if (isPromotion && NeedsTransfer()) {
+  if (isPromotion && NeedsTransfer(aGroup)) {
     aPromotion.mRowBeingWritten = claim;
   }
   mHooks.mLog(LogLevel::Info,
@@ -94,18 +94,18 @@
     promotion.mPendingMember = aClaim.mLeader;
     promotion.mRowRevision = written->mRevision;
     promotion.mRowAt = now;
-    if (NeedsTransfer()) {
+    if (NeedsTransfer(aGroup)) {
       StartTransfer(aGroup, promotion, now);
     } else {
       QueryCandidates(aGroup, now);
     }
-  } else if (!NeedsTransfer() && std::holds_alternative<StoreFailure>(aResult) &&
+  } else if (!NeedsTransfer(aGroup) && std::holds_alternative<StoreFailure>(aResult) &&
              HasReservedToken(aGroup, promotion)) {
     PromoteWithReservedToken(aGroup, promotion, promotion.mReason, now);
   } else {
     // Another instance was faster, or the claim may still be written. The feed delivers
     // the row before the next claim.
-    Abandon(aGroup, promotion, kAbandonBackoff, now);
+    Abandon(promotion, kAbandonBackoff, now);
   }
 }
 
@@ -115,7 +115,7 @@
                                          TimePoint aNow)
 {
   if (HasReservedToken(aGroup, aPromotion) || aNow < aPromotion.mClaimAfter ||
-      mHooks.mSynchronousReplicas(aGroup) > 0 || !mHooks.mIsStandby(aGroup, mInstance)) {
+      !mHooks.mIsStandby(aGroup, mInstance)) {
     aPromotion.mReservationAt.reset();
     return;
   }
@@ -147,8 +147,8 @@
 PromotionCoordinator::HasReservedToken(const std::string& aGroup,
                                        const GroupPromotion& aPromotion) const
 {
-  // A promotion without a claim could rely on pauses that the holder of a claim ends.
-  if (mHooks.mSynchronousReplicas(aGroup) > 0) {
+  // Without a claim in the store, instances keep their leases on the old leader.
+  if (NeedsTransfer(aGroup)) {
     return false;
   }
   const auto row = LeadershipOf(aGroup);
--- a/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
@@ -50,23 +50,21 @@
                                   GroupPromotion& aPromotion,
                                   TimePoint aNow)
 {
-  const bool mayPause = NeedsTransfer() || mHooks.mSynchronousReplicas(aGroup) > 0;
   const SeenRow* seen = FindRow(LeadershipKey(aGroup));
   const auto row = LeadershipOf(aGroup);
   PauseCheck& check = aPromotion.mPauseCheck;
-  if (!mayPause || !row || aNow - seen->mSeenAt < kMinClaimInterval) {
+  if (!NeedsTransfer(aGroup) || !row || aNow - seen->mSeenAt < kMinClaimInterval) {
     return;
   }
   // The row of a promotion that has succeeded may still announce the call.
   const bool mayBeCalled =
     row->mState == LeadershipState::Calling && aNow - seen->mSeenAt < kLateCallWindow;
-  if (NeedsTransfer() && (row->mState == LeadershipState::Claimed || mayBeCalled)) {
+  if (row->mState == LeadershipState::Claimed || mayBeCalled) {
     return;
   }
   if (check.mRevision != seen->mRow.mRevision) {
     check = PauseCheck();
     check.mRevision = seen->mRow.mRevision;
-    check.mSince = seen->mSeenAt == TimePoint() ? aNow : seen->mSeenAt;
   }
   EndPauses(aGroup, aPromotion, aNow);
   if (aNow < check.mNextAt) {
@@ -120,21 +118,16 @@
                                 TimePoint aNow)
 {
   PauseCheck& check = aPromotion.mPauseCheck;
-  // Where the platform terminates the old leadership, the row doesn't tell whether an
-  // attempt is in progress, or its call may still take effect.
-  const Duration minAge =
-    NeedsTransfer() ? Duration::zero() : kMaxSynchronousAttempt + kLateCallWindow;
   const SeenRow* seen = FindRow(LeadershipKey(aGroup));
   const auto row = LeadershipOf(aGroup);
-  if (check.mPaused.empty() || aNow - check.mSince < minAge || check.mIsWriting ||
+  if (check.mPaused.empty() || check.mIsWriting ||
       aPromotion.mPhase != Phase::Monitoring || !row ||
       seen->mRow.mRevision != check.mRevision) {
     return;
   }
   // Until the call has taken effect, a pause may be what keeps the old leader from
   // acknowledging commits.
-  if (NeedsTransfer() && row->mState == LeadershipState::Calling &&
-      !check.mIsLeaderConfirmed) {
+  if (row->mState == LeadershipState::Calling && !check.mIsLeaderConfirmed) {
     return;
   }
   check.mIsWriting = true;
--- a/src/libs/proxy/leadership/promotioncoordinator_run.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_run.cpp
@@ -16,7 +16,7 @@
 {
   const bool isSynchronous = mHooks.mSynchronousReplicas(aGroup) > 0;
   const std::vector<MemberEntry> members =
-    NeedsTransfer() || isSynchronous ? mHooks.mMembers(aGroup) : mHooks.mReplicas(aGroup);
+    NeedsTransfer(aGroup) ? mHooks.mMembers(aGroup) : mHooks.mReplicas(aGroup);
   const auto replaced =
     std::find_if(members.begin(), members.end(), [&](const MemberEntry& aMember) {
       return aMember.mId == aPromotion.mReplaced;
@@ -55,74 +55,43 @@
   GroupPromotion& promotion = mPromotions[aGroup];
   promotion.mPhase = Phase::Choosing;
   promotion.mCandidates.clear();
-  const bool isSynchronous = mHooks.mSynchronousReplicas(aGroup) > 0;
-  promotion.mQueriedAt = aNow;
   promotion.mMayHaveCalled = false;
-  promotion.mReplyDeadline =
-    aNow + (isSynchronous ? kSynchronousReplyTimeout : kCandidateReplyTimeout);
-  promotion.mHasPausedCandidates = isSynchronous;
-  QueryNewCandidates(aGroup, promotion, aNow);
+  promotion.mReplyDeadline = aNow + kCandidateReplyTimeout;
+  for (const TransferFollower& follower : FollowersOf(aGroup, promotion, aNow)) {
+    if (follower.mMayLead && !follower.mIsDraining) {
+      promotion.mCandidates.push_back({ follower.mMember, std::nullopt, false });
+    }
+  }
   if (promotion.mCandidates.empty()) {
     mHooks.mLog(LogLevel::Warning, "no_replica_to_promote", { { "group", aGroup } });
-    Abandon(aGroup, promotion, kAbandonBackoff, aNow);
+    Abandon(promotion, kAbandonBackoff, aNow);
+    return;
   }
-}
-
-void
-PromotionCoordinator::QueryNewCandidates(const std::string& aGroup,
-                                         GroupPromotion& aPromotion,
-                                         TimePoint aNow)
-{
-  const bool isSynchronous = mHooks.mSynchronousReplicas(aGroup) > 0;
-  MemberCommand command;
-  // With synchronous replicas, commits that the paused replicas have not received can't
-  // be acknowledged any more.
-  command.mKind = isSynchronous ? CommandKind::Pause : CommandKind::Status;
-  command.mTerm = isSynchronous ? mHooks.mNewestTerm(aGroup) + 1 : 0;
-  std::vector<TransferFollower> queried;
-  for (const TransferFollower& follower : FollowersOf(aGroup, aPromotion, aNow)) {
-    std::erase_if(aPromotion.mCandidates, [&](const Candidate& aOne) {
-      return aOne.mMember == follower.mMember &&
-             aOne.mStartedAtMs != follower.mStartedAtMs;
-    });
-    const bool isKnown = std::any_of(
-      aPromotion.mCandidates.begin(),
-      aPromotion.mCandidates.end(),
-      [&](const Candidate& aOne) { return aOne.mMember == follower.mMember; });
-    const bool mayBeChosen = follower.mMayLead && !follower.mIsDraining;
-    if (!isKnown && (isSynchronous || mayBeChosen)) {
-      Candidate candidate;
-      candidate.mMember = follower.mMember;
-      candidate.mStartedAtMs = follower.mStartedAtMs;
-      aPromotion.mCandidates.push_back(std::move(candidate));
-      queried.push_back(follower);
-    }
+  std::vector<std::string> members;
+  for (const Candidate& candidate : promotion.mCandidates) {
+    members.push_back(candidate.mMember);
   }
-  for (const TransferFollower& follower : queried) {
-    const auto onReply =
-      [this,
-       aGroup,
-       number = aPromotion.mAttempt,
-       member = follower.mMember,
-       startedAtMs = follower.mStartedAtMs](const std::optional<MemberReply>& aReply) {
-        GroupPromotion& current = mPromotions[aGroup];
-        if (current.mAttempt != number || current.mPhase != Phase::Choosing) {
-          return;
-        }
-        bool isComplete = true;
-        for (Candidate& other : current.mCandidates) {
-          if (other.mMember == member && other.mStartedAtMs == startedAtMs) {
-            other.mIsAnswered = true;
-            other.mStatus = aReply ? aReply->mStatus : std::nullopt;
-          }
-          isComplete = isComplete && other.mIsAnswered;
-        }
-        if (isComplete) {
-          ChooseMember(aGroup, current, mHooks.mNow());
+  for (const std::string& member : members) {
+    const auto onReply = [this, aGroup, number = promotion.mAttempt, member](
+                           const std::optional<MemberReply>& aReply) {
+      GroupPromotion& current = mPromotions[aGroup];
+      if (current.mAttempt != number || current.mPhase != Phase::Choosing) {
+        return;
+      }
+      bool isComplete = true;
+      for (Candidate& other : current.mCandidates) {
+        if (other.mMember == member) {
+          other.mIsAnswered = true;
+          other.mStatus = aReply ? aReply->mStatus : std::nullopt;
         }
-      };
+        isComplete = isComplete && other.mIsAnswered;
+      }
+      if (isComplete) {
+        ChooseMember(aGroup, current, mHooks.mNow());
+      }
+    };
     mHooks.mSendCommand(
-      follower.mMember, command, aPromotion.mReplyDeadline - aNow, aNow, onReply);
+      member, { .mKind = CommandKind::Status }, kCandidateReplyTimeout, aNow, onReply);
   }
 }
 
@@ -131,8 +100,6 @@
                                    GroupPromotion& aPromotion,
                                    TimePoint aNow)
 {
-  const std::uint32_t synchronous = mHooks.mSynchronousReplicas(aGroup);
-  const bool isSynchronous = synchronous > 0;
   std::vector<CandidateReport> reports;
   std::size_t answers = 0;
   for (const TransferFollower& follower : FollowersOf(aGroup, aPromotion, aNow)) {
@@ -141,10 +108,7 @@
     report.mMayLead = follower.mMayLead;
     report.mIsDraining = follower.mIsDraining;
     for (const Candidate& candidate : aPromotion.mCandidates) {
-      // A member that isn't paused may still receive commits that are acknowledged.
-      const bool isFinal =
-        candidate.mStatus && (!isSynchronous || candidate.mStatus->mPausedTerm > 0);
-      if (candidate.mMember == follower.mMember && isFinal) {
+      if (candidate.mMember == follower.mMember && candidate.mStatus) {
         report.mReceived = candidate.mStatus->mReceived;
         report.mTerm = candidate.mStatus->mTerm;
         report.mPausedTerm = candidate.mStatus->mPausedTerm;
@@ -153,18 +117,12 @@
     }
     reports.push_back(std::move(report));
   }
-  const auto chosen = ChooseCandidate(reports, synchronous);
+  const auto chosen = ChooseCandidate(reports, 0);
   if (!chosen) {
-    // A member with all commits may answer late, or be listed again.
-    if (!isSynchronous || aNow >= aPromotion.mReplyDeadline) {
-      mHooks.mLog(
-        LogLevel::Warning,
-        "too_few_replicas_answered",
-        { { "group", aGroup },
-          { "answers", std::to_string(answers) },
-          { "needed", std::to_string(RequiredReports(reports.size(), synchronous)) } });
-      Abandon(aGroup, aPromotion, kAbandonBackoff, aNow);
-    }
+    mHooks.mLog(LogLevel::Warning,
+                "too_few_replicas_answered",
+                { { "group", aGroup }, { "answers", std::to_string(answers) } });
+    Abandon(aPromotion, kAbandonBackoff, aNow);
     return;
   }
   const auto best = std::find_if(
@@ -213,10 +171,7 @@
       { "lag_ms",
         std::to_string(
           std::chrono::duration_cast<std::chrono::milliseconds>(leastLag).count()) } });
-  Abandon(aGroup,
-          aPromotion,
-          receivesAll ? kSwitchoverRetryDelay : kMinSwitchoverInterval,
-          aNow);
+  Abandon(aPromotion, receivesAll ? kSwitchoverRetryDelay : kMinSwitchoverInterval, aNow);
   return false;
 }
 
@@ -227,17 +182,17 @@
 {
   if (IsSuperseded(aGroup, aPromotion)) {
     mHooks.mLog(LogLevel::Info, "promotion_superseded", { { "group", aGroup } });
-    Abandon(aGroup, aPromotion, kAbandonBackoff, aNow);
+    Abandon(aPromotion, kAbandonBackoff, aNow);
     return;
   }
-  const bool isAttemptOver = NeedsTransfer()
-                               ? aNow - aPromotion.mRowSentAt > kCallWindow
-                               : aPromotion.mHasPausedCandidates &&
-                                   aNow - aPromotion.mQueriedAt > kMaxSynchronousAttempt;
-  if (isAttemptOver) {
-    // Another instance may claim the promotion soon, and its calls must come after all
-    // calls of this claim; or it may resume the members that this attempt has paused.
-    Abandon(aGroup, aPromotion, kAbandonBackoff, aNow);
+  // Another instance may claim the promotion soon, and its calls must come after all
+  // calls of this claim.
+  const bool isWindowOver =
+    aPromotion.mTransfer && aNow - aPromotion.mRowSentAt > kCallWindow;
+  // The configuration has added synchronous replicas to the group during the attempt.
+  const bool isUnprotected = !aPromotion.mTransfer && NeedsTransfer(aGroup);
+  if (isWindowOver || isUnprotected) {
+    Abandon(aPromotion, kAbandonBackoff, aNow);
     return;
   }
   aPromotion.mIsCalling = true;
@@ -269,9 +224,9 @@
   if (aAnswer == PromotionAnswer::Accepted) {
     mHooks.mOnPromotionAccepted(aGroup, promotion.mTarget, now);
     // The promotion itself resumes replication on the paused replicas.
-    promotion.mHasPausedCandidates = false;
+    const bool wasTransferred = promotion.mTransfer.has_value();
     promotion.mTransfer.reset();
-    if (NeedsTransfer()) {
+    if (wasTransferred) {
       LeadershipRow settled;
       settled.mToken = promotion.mLastToken;
       settled.mHolder = mInstance;
@@ -283,20 +238,20 @@
     } else if (promotion.mIsSwitchover) {
       DemoteOldPrimary(aGroup, promotion, now);
     }
-    Abandon(aGroup, promotion, kMinClaimInterval, now);
+    Abandon(promotion, kMinClaimInterval, now);
   } else if (aAnswer == PromotionAnswer::Refused) {
     promotion.mRefused[promotion.mTarget] = now + kRefusedMemberExclusion;
     promotion.mMayHaveCalled = false;
-    promotion.mNeedsLeader = NeedsTransfer();
+    promotion.mNeedsLeader = promotion.mTransfer.has_value();
     // Another instance may have used a newer token, in which case the platform would
     // refuse the reserved tokens as well.
     promotion.mLastToken = promotion.mToken;
-    Abandon(aGroup, promotion, kAbandonBackoff, now);
+    Abandon(promotion, kAbandonBackoff, now);
   } else if (promotion.mCalls < kMaxCalls) {
     promotion.mNextCallAt = now + kCallRetryDelay;
     mNextCheck = std::min(mNextCheck, promotion.mNextCallAt);
   } else {
-    Abandon(aGroup, promotion, kAbandonBackoff, now);
+    Abandon(promotion, kAbandonBackoff, now);
   }
 }
 
@@ -333,33 +288,10 @@
 }
 
 void
-PromotionCoordinator::ResumeCandidates(const std::string& aGroup,
-                                       GroupPromotion& aPromotion,
-                                       TimePoint aNow)
-{
-  if (!std::exchange(aPromotion.mHasPausedCandidates, false)) {
-    return;
-  }
-  // The members may be paused for a newer claim by now, or an unanswered call may still
-  // take effect. CheckPauses finds the members that stay paused.
-  if (aPromotion.mMayHaveCalled || IsSuperseded(aGroup, aPromotion) ||
-      aNow - aPromotion.mRowSentAt > kMinClaimInterval - kDemoteTimeout) {
-    return;
-  }
-  std::vector<std::string> members;
-  for (const Candidate& candidate : aPromotion.mCandidates) {
-    members.push_back(candidate.mMember);
-  }
-  ResumeMembers(members, aNow);
-}
-
-void
-PromotionCoordinator::Abandon(const std::string& aGroup,
-                              GroupPromotion& aPromotion,
+PromotionCoordinator::Abandon(GroupPromotion& aPromotion,
                               Duration aClaimDelay,
                               TimePoint aNow)
 {
-  ResumeCandidates(aGroup, aPromotion, aNow);
   CancelTransfer(aPromotion);
   aPromotion.mPhase = Phase::Monitoring;
   aPromotion.mIsCalling = false;
--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -49,23 +49,25 @@
     ClaimPromotion(aGroup, aPromotion, "claim_left", aNow);
     return true;
   }
+  // Without a transfer, a claim doesn't record its promotion: the group had no
+  // synchronous replicas then, or the claim is one of an earlier version.
+  const std::string& leader =
+    mEnforcer == LeadershipEnforcer::Platform ? health.mMember : aPromotion.mReplaced;
   // No statement is sent to the primary during a claim, and a process that has just
   // started has not received any reply from it.
   if (!aPromotion.mLeaderConfirmedAt ||
       aNow - *aPromotion.mLeaderConfirmedAt > kMaxRefutingReplyAge) {
-    ConfirmLeader(aGroup, aPromotion, aNow);
+    ConfirmLeader(aGroup, aPromotion, leader, aNow);
     return true;
   }
   mHooks.mLog(LogLevel::Info,
               "claim_withdrawn",
-              { { "group", aGroup },
-                { "holder", row->mHolder },
-                { "member", aPromotion.mReplaced } });
+              { { "group", aGroup }, { "holder", row->mHolder }, { "member", leader } });
   LeadershipRow settled = *row;
   // The holder of the abandoned claim must not mistake this row for its own.
   settled.mHolder = mInstance;
   settled.mState = LeadershipState::Settled;
-  settled.mLeader = row->mMember;
+  settled.mLeader = leader;
   aPromotion.mRowRevision = seen->mRow.mRevision;
   aPromotion.mEndsPauses = true;
   WriteLeadership(aGroup, aPromotion, settled, aNow);
@@ -75,12 +77,13 @@
 void
 PromotionCoordinator::ConfirmLeader(const std::string& aGroup,
                                     GroupPromotion& aPromotion,
+                                    const std::string& aMember,
                                     TimePoint aNow)
 {
   if (std::exchange(aPromotion.mIsConfirmingLeader, true)) {
     return;
   }
-  mHooks.mSendCommand(aPromotion.mReplaced,
+  mHooks.mSendCommand(aMember,
                       { .mKind = CommandKind::Status },
                       kDemoteTimeout,
                       aNow,
@@ -113,6 +116,7 @@
   request.mClaimedAt = aNow;
   request.mPendingMember =
     aPromotion.mPendingMember == "-" ? std::string() : aPromotion.mPendingMember;
+  request.mAreCallsFenced = mEnforcer == LeadershipEnforcer::Platform;
   request.mFollowers = FollowersOf(aGroup, aPromotion, aNow);
   request.mSynchronousReplicas = mHooks.mSynchronousReplicas(aGroup);
   const bool isSynchronous = request.mSynchronousReplicas > 0;
@@ -122,7 +126,7 @@
     });
   if (!hasCandidate) {
     mHooks.mLog(LogLevel::Warning, "no_replica_to_promote", { { "group", aGroup } });
-    Abandon(aGroup, aPromotion, kAbandonBackoff, aNow);
+    Abandon(aPromotion, kAbandonBackoff, aNow);
     return;
   }
   aPromotion.mPhase = Phase::Choosing;
@@ -187,8 +191,7 @@
       aPromotion.mLeaderConfirmedAt = aNow;
       aPromotion.mIsLeaderLost = false;
     }
-    Abandon(
-      aGroup, aPromotion, isNotUseful ? kSwitchoverRetryDelay : kAbandonBackoff, aNow);
+    Abandon(aPromotion, isNotUseful ? kSwitchoverRetryDelay : kAbandonBackoff, aNow);
     return;
   }
   aPromotion.mTarget = aPromotion.mTransfer->Target();
@@ -291,7 +294,7 @@
     const bool isOwn = current && current->mHolder == mInstance;
     if (!isOwn || current->mToken != promotion.mLastToken) {
       mHooks.mLog(LogLevel::Info, "promotion_superseded", { { "group", aGroup } });
-      Abandon(aGroup, promotion, kAbandonBackoff, aNow);
+      Abandon(promotion, kAbandonBackoff, aNow);
     }
   }
 }
--- a/src/libs/proxy/leadership/promotiontimes.h
+++ b/src/libs/proxy/leadership/promotiontimes.h
@@ -68,17 +68,10 @@
 
 /** Time for the replicas to report their received log positions. */
 constexpr Duration kCandidateReplyTimeout = 300ms;
-/** Time for the replicas to report their received log positions in groups with
- * synchronous replicas, where the promoted member must have all acknowledged commits. */
-constexpr Duration kSynchronousReplyTimeout = 2s;
 /** Promotion calls are only repeated for this long after the write of the row that names
  * the member was sent. Below kMinClaimInterval, so that all of them precede the calls of
  * another claim. */
 constexpr Duration kCallWindow = 2s;
-/** Longest attempt to promote a member of a group with synchronous replicas where the
- * platform terminates the old leadership. A replica that stays paused for longer was left
- * so by an attempt that has ended. */
-constexpr Duration kMaxSynchronousAttempt = kSynchronousReplyTimeout + kCallWindow;
 /** Interval in which the holder of a claim renews its row. Other instances consider a
  * claim abandoned if its row hasn't changed for kMinClaimInterval. */
 constexpr Duration kClaimRenewalInterval = 1s;
--- a/src/libs/proxy/tables/tablefollower.h
+++ b/src/libs/proxy/tables/tablefollower.h
@@ -64,6 +64,8 @@
    * the network is detected a little later */
   TableFollower(std::string aTable, Duration aWait, FollowerHooks aHooks);
 
+  /** Changes how long calls to the store wait for changes, from the next call on. */
+  void SetWait(Duration aWait) { mWait = aWait; }
   /** Starts to follow the table, or stops after the call in progress. */
   void SetActive(bool aIsActive, TimePoint aNow);
   void OnTimer(TimePoint aNow);
--- a/tests/auto/proxy/tst_leadershipexploration.cpp
+++ b/tests/auto/proxy/tst_leadershipexploration.cpp
@@ -81,6 +81,7 @@
 EndFaults(LeadershipSimulation& aSimulation)
 {
   aSimulation.mLostAnswerShare = 0;
+  aSimulation.mDoMembersChange = false;
   aSimulation.mDisconnectedPairs.clear();
   for (auto& [id, member] : aSimulation.mMembers) {
     member.mIsAlive = true;
@@ -160,6 +161,90 @@
   RequireRecovery(simulation, 20s);
 }
 
+/** Schedules restarts and starts of members at any moment of the next step, also during a
+ * promotion. Half of the restarted members can't reach the store, so that the directory
+ * doesn't show the restart. */
+void
+InjectMemberChanges(LeadershipSimulation& aSimulation)
+{
+  constexpr std::size_t kMaxMembers = 5;
+  const auto moment = [&aSimulation] {
+    return std::chrono::milliseconds(static_cast<int>(aSimulation.Chance() * 3000));
+  };
+  std::vector<std::string> ids;
+  for (auto& [id, member] : aSimulation.mMembers) {
+    member.mReachesStore = aSimulation.Chance() > 0.2;
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    if (aSimulation.Chance() < 0.3) {
+      const bool reachesStore = aSimulation.Chance() < 0.5;
+      aSimulation.After(moment(), [&aSimulation, id, reachesStore] {
+        if (!aSimulation.mDoMembersChange) {
+          return;
+        }
+        aSimulation.mMembers[id].mReachesStore = reachesStore;
+        aSimulation.RestartMember(id);
+      });
+    }
+  }
+  if (aSimulation.Chance() < 0.3) {
+    const std::string zone = aSimulation.Chance() < 0.5 ? "zone-b" : "zone-c";
+    aSimulation.After(moment(), [&aSimulation, zone] {
+      const std::size_t count = aSimulation.mMembers.size();
+      if (aSimulation.mDoMembersChange && count < kMaxMembers) {
+        aSimulation.StartMember("r" + std::to_string(count), zone);
+      }
+    });
+  }
+}
+
+/** @return what went wrong in a sequence; an empty string if nothing did */
+std::string
+PlayMemberChanges(std::uint64_t aSeed, LeadershipPlatform aPlatform)
+{
+  // The platform takes some hundred milliseconds for a promotion, up to a second.
+  aPlatform.mPromotionDelay = aSeed % 2 == 0 ? 300ms : 1s;
+  LeadershipSimulation simulation(3, aSeed, {}, aPlatform);
+  simulation.Run(1s);
+  simulation.mLostAnswerShare = 0.1;
+  simulation.mLateEffectShare = 0.5;
+  for (int step = 0; step < kSteps; step++) {
+    InjectFaults(simulation);
+    InjectMemberChanges(simulation);
+    simulation.Run(
+      std::chrono::milliseconds(200 + static_cast<int>(simulation.Chance() * 3000)));
+  }
+  EndFaults(simulation);
+  simulation.Run(20s);
+  if (!simulation.mViolations.empty()) {
+    return simulation.mViolations.front();
+  }
+  if (!simulation.IsServed()) {
+    return "SERVED: the group is not served after the faults";
+  }
+  return simulation.IsAnyPaused() ? "PAUSED: a replica stays paused" : "";
+}
+
+/** Plays the sequences of all seeds and requires that none fails. */
+void
+CheckMemberChanges(const LeadershipPlatform& aPlatform)
+{
+  const std::uint64_t first = NumberFromEnvironment("PAPAYASPINDLE_EXPLORATION_SEED", 1);
+  const std::uint64_t runs =
+    NumberFromEnvironment("PAPAYASPINDLE_EXPLORATION_RUNS", kDefaultRuns);
+  std::vector<std::string> failures;
+  for (std::uint64_t seed = first; seed < first + runs; seed++) {
+    const std::string failure = PlayMemberChanges(seed, aPlatform);
+    if (!failure.empty()) {
+      failures.push_back("seed " + std::to_string(seed) + " " + failure);
+    }
+  }
+  INFO(failures.size() << " of " << runs << " sequences failed, first "
+                       << (failures.empty() ? "none" : failures.front()));
+  REQUIRE(failures.empty());
+}
+
 } // namespace
 
 TEST_CASE("no sequence of faults lets clients use two leaders")
@@ -361,3 +446,22 @@
   REQUIRE_FALSE(simulation.IsAnyPaused());
   REQUIRE(simulation.IsServed());
 }
+
+// Guards against commits that the old leader acknowledges after its successor was chosen,
+// through a replica that starts or restarts in the meantime and so isn't paused.
+TEST_CASE("members that start or restart during a promotion lose no acknowledged commit")
+{
+  SECTION("the platform terminates the old leadership")
+  {
+    CheckMemberChanges({ LeadershipEnforcer::Platform, 1 });
+  }
+  SECTION("the instances terminate the old leadership")
+  {
+    CheckMemberChanges({ LeadershipEnforcer::Instances, 1 });
+  }
+}
+
+TEST_CASE("members that start or restart during a promotion let clients use one leader")
+{
+  CheckMemberChanges({ LeadershipEnforcer::Instances, 0 });
+}
--- a/tests/auto/proxy/tst_promotioncoordinator.cpp
+++ b/tests/auto/proxy/tst_promotioncoordinator.cpp
@@ -129,6 +129,30 @@
   REQUIRE(simulation.PromotedMembers() == std::vector<std::string>{ "r1" });
 }
 
+// Guards against commits that the old primary acknowledges after its successor was
+// chosen, through a replica that starts or restarts in the meantime.
+TEST_CASE("with synchronous replicas, a draining primary steps down before the call")
+{
+  StoreSimulation simulation(3);
+  simulation.mSynchronousReplicaCount = 1;
+  simulation.mIsPrimaryDraining = true;
+  simulation.Run(500ms);
+  REQUIRE(simulation.PromotedMembers() == std::vector<std::string>{ "r1" });
+  REQUIRE(simulation.mDemotedBeforeCall == std::vector<std::string>{ "p" });
+}
+
+// Guards against a release that leaves a group without a primary, because the report of
+// each replica is awaited although the old primary can tell what it has acknowledged.
+TEST_CASE("a draining primary is replaced while a replica doesn't answer")
+{
+  StoreSimulation simulation(3);
+  simulation.mSynchronousReplicaCount = 1;
+  simulation.mUnresponsiveReplicas = { "r2" };
+  simulation.mIsPrimaryDraining = true;
+  simulation.Run(1s);
+  REQUIRE(simulation.PromotedMembers() == std::vector<std::string>{ "r1" });
+}
+
 TEST_CASE("a holder that resumes after a freeze doesn't use its outdated token")
 {
   StoreSimulation simulation(3);
