Withdraw a claim when the replaced primary is back under another id

Cause: the crashed primary was back after 6 s with its log, as a member with another id. The claim took it for a former leader and demoted it.

Change: where the platform terminates old leaderships, a member that leads is the newest leader, and the claim is withdrawn in its favour.

--- a/src/libs/proxy/leadership/leadershiptransfer.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer.cpp
@@ -225,6 +225,12 @@
     mOutcome = Outcome::Ready;
     return {};
   }
+  // A crashed leader returns with its log, but not always under the same id.
+  if (leads && mRequest.mIsPlatformEnforcing && mRequest.mPendingMember.empty()) {
+    mMayHaveDemoted = false;
+    mOutcome = Outcome::LeaderReturned;
+    return {};
+  }
   return OnTimer(aNow);
 }
 
--- a/src/libs/proxy/leadership/leadershiptransfer.h
+++ b/src/libs/proxy/leadership/leadershiptransfer.h
@@ -48,9 +48,10 @@
   std::uint32_t mSynchronousReplicas = 0;
   /** Member that an unanswered promotion call may still promote; empty for none. */
   std::string mPendingMember;
-  /** The platform refuses calls with tokens below the newest one, so that an unanswered
-   * call has no effect after the call of this transfer. */
-  bool mAreCallsFenced = false;
+  /** The platform terminates the leadership of a replaced leader, so that only the newest
+   * leader leads. It also refuses calls with tokens below the newest one, so that an
+   * unanswered call has no effect after the call of this transfer. */
+  bool mIsPlatformEnforcing = false;
   /** A term above all terms seen in the group. */
   std::uint64_t mNextTerm = 0;
   /** Time from which every read of the store returns the claim. */
@@ -90,7 +91,8 @@
     NotUseful,
     /** No replica that can be promoted answered in time. */
     Failed,
-    /** No replica could be promoted so far, and the old leader answers and leads. */
+    /** No replica could be promoted so far, and the old leader answers and leads,
+     * possibly under another id. */
     LeaderReturned,
   };
 
--- a/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
@@ -53,8 +53,8 @@
 LeadershipTransfer::IsOldLeadershipOver(TimePoint aNow) const
 {
   const std::string& pending = mRequest.mPendingMember;
-  if (!pending.empty() && !mRequest.mAreCallsFenced && !mFollowers.at(pending).mStatus &&
-      aNow - mRequest.mClaimedAt < kLateCallWindow) {
+  if (!pending.empty() && !mRequest.mIsPlatformEnforcing &&
+      !mFollowers.at(pending).mStatus && aNow - mRequest.mClaimedAt < kLateCallWindow) {
     return false;
   }
   TimePoint pausedSince = mRequest.mClaimedAt;
@@ -109,9 +109,10 @@
     const TransferFollower& described = state.mDescription;
     const bool follows = state.mStatus && state.mStatus->mRole == MemberRole::Replica;
     const bool mayLead = described.mMayLead && !described.mIsDraining;
-    // Where calls are fenced, another member may be promoted in place of the pending one.
+    // Where the platform checks tokens, another member may be promoted in place of the
+    // pending one.
     const bool isPreferred =
-      !follows || (mayLead && !(mRequest.mAreCallsFenced && IsSynchronous()));
+      !follows || (mayLead && !(mRequest.mIsPlatformEnforcing && IsSynchronous()));
     if (member == mRequest.mPendingMember && state.mStatus && isPreferred) {
       return follower;
     }
--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -40,8 +40,10 @@
   const PrimaryHealth health = mHooks.mPrimaryHealth(aGroup, aNow);
   const bool hasReason = health.mMember.empty() || !health.mIsListed ||
                          health.mIsDraining || health.mDownSince;
-  if (row->mLeader != "-" || aPromotion.mReplaced.empty() || aPromotion.mNeedsLeader ||
-      hasReason || std::exchange(aPromotion.mIsLeaderLost, false)) {
+  const bool isPlatformEnforcing = mEnforcer == LeadershipEnforcer::Platform;
+  const bool needsLeader = aPromotion.mNeedsLeader && !isPlatformEnforcing;
+  if (row->mLeader != "-" || aPromotion.mReplaced.empty() || needsLeader || hasReason ||
+      std::exchange(aPromotion.mIsLeaderLost, false)) {
     // A call of an earlier claim may still take effect, and is repeated until it is
     // answered; or the member still has to be replaced, so that a withdrawal would only
     // delay the next claim.
@@ -49,10 +51,10 @@
     ClaimPromotion(aGroup, aPromotion, "claim_left", aNow);
     return true;
   }
-  // Without a transfer, a claim doesn't record its promotion: the group had no
-  // synchronous replicas then, or the claim is one of an earlier version.
-  const std::string& leader =
-    mEnforcer == LeadershipEnforcer::Platform ? health.mMember : aPromotion.mReplaced;
+  // Where the platform terminates old leaderships, a member that leads is the newest
+  // leader: the replaced one under another id, or one that a claim without a transfer has
+  // promoted.
+  const std::string& leader = isPlatformEnforcing ? health.mMember : aPromotion.mReplaced;
   // No statement is sent to the primary during a claim, and a process that has just
   // started has not received any reply from it.
   if (!aPromotion.mLeaderConfirmedAt ||
@@ -116,7 +118,7 @@
   request.mClaimedAt = aNow;
   request.mPendingMember =
     aPromotion.mPendingMember == "-" ? std::string() : aPromotion.mPendingMember;
-  request.mAreCallsFenced = mEnforcer == LeadershipEnforcer::Platform;
+  request.mIsPlatformEnforcing = mEnforcer == LeadershipEnforcer::Platform;
   request.mFollowers = FollowersOf(aGroup, aPromotion, aNow);
   request.mSynchronousReplicas = mHooks.mSynchronousReplicas(aGroup);
   const bool isSynchronous = request.mSynchronousReplicas > 0;
--- a/tests/auto/proxy/tst_leadershiptransfer.cpp
+++ b/tests/auto/proxy/tst_leadershiptransfer.cpp
@@ -434,7 +434,7 @@
   TransferRequest request = Request(false);
   request.mSynchronousReplicas = 1;
   request.mPendingMember = "p";
-  request.mAreCallsFenced = isFenced;
+  request.mIsPlatformEnforcing = isFenced;
   LeadershipTransfer transfer(request);
   (void)transfer.Start(kStart);
   (void)transfer.OnReply("r1", CommandKind::Pause, Paused(100), kStart);
@@ -445,3 +445,23 @@
   (void)transfer.OnReply("r2", CommandKind::Status, Paused(90), end);
   REQUIRE((transfer.State() == Outcome::Ready) == isFenced);
 }
+
+// Guards against a group that stays without a leader, because one of the members whose
+// reports are needed has left, although its crashed leader is back under another id.
+TEST_CASE("a member that leads ends a transfer where the platform ends old leaderships")
+{
+  const bool isPlatformEnforcing = GENERATE(true, false);
+  TransferRequest request = Request(false);
+  request.mSynchronousReplicas = 1;
+  request.mIsPlatformEnforcing = isPlatformEnforcing;
+  LeadershipTransfer transfer(request);
+  (void)transfer.Start(kStart);
+  const TransferFollower followers[] = { { "r1" }, { "r2" }, { "p2" } };
+  transfer.SetFollowers(followers);
+  (void)transfer.OnTimer(kStart + 20ms);
+  (void)transfer.OnReply(
+    "p2", CommandKind::Pause, Status(100, MemberRole::Primary), kStart + 30ms);
+  const auto expected = isPlatformEnforcing ? Outcome::LeaderReturned : Outcome::Pending;
+  REQUIRE(transfer.State() == expected);
+  REQUIRE(transfer.MayHaveDemoted() != isPlatformEnforcing);
+}
