Recognize a primary that returns to the directory or under another id

A claim that ended because a member leads was repeated instead of withdrawn as long as the directory didn't name that member.

Change: a listed primary is the primary also if it was listed before, and a claim is withdrawn in favour of the member that has replied. A member that leaves or that can't be promoted doesn't end a claim. A claim that fails for want of reports logs how many it had and needs.

The test in tst_proxyrouting failed before.

--- a/src/libs/proxy/leadership/leadershiptransfer.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer.cpp
@@ -226,8 +226,12 @@
     return {};
   }
   // A crashed leader returns with its log, but not always under the same id.
-  if (leads && mRequest.mIsPlatformEnforcing && mRequest.mPendingMember.empty()) {
+  const bool mayLead =
+    follower.mDescription.mMayLead && !follower.mDescription.mIsDraining;
+  if (leads && mayLead && mRequest.mIsPlatformEnforcing &&
+      mRequest.mPendingMember.empty()) {
     mMayHaveDemoted = false;
+    mReturnedLeader = aMember;
     mOutcome = Outcome::LeaderReturned;
     return {};
   }
@@ -286,6 +290,7 @@
   if (aReply && aReply->mStatus && aReply->mStatus->mRole == MemberRole::Primary) {
     // The command to step down was lost.
     mMayHaveDemoted = false;
+    mReturnedLeader = mRequest.mReplaced;
     mOutcome = Outcome::LeaderReturned;
   }
 }
--- a/src/libs/proxy/leadership/leadershiptransfer.h
+++ b/src/libs/proxy/leadership/leadershiptransfer.h
@@ -112,8 +112,15 @@
 
   [[nodiscard]] Outcome State() const { return mOutcome; }
   [[nodiscard]] const std::string& Target() const { return mTarget; }
+  /** @return the member that leads, if the outcome is LeaderReturned */
+  [[nodiscard]] const std::string& ReturnedLeader() const { return mReturnedLeader; }
   /** @return position that the target had received when it was chosen */
   [[nodiscard]] LogPosition TargetPosition() const;
+  /** @return number of followers that have reported what they received, of those that
+   * count for the choice of a target */
+  [[nodiscard]] std::size_t Reports() const;
+  /** @return number of reports that the choice of a target needs */
+  [[nodiscard]] std::size_t NeededReports() const;
   /** @return whether the target leads already, so that its promotion ends no pause */
   [[nodiscard]] bool IsTargetLeading() const;
   /** @return whether the old leader may have stepped down because of this transfer */
@@ -212,6 +219,7 @@
   /** Newest log position of the old leader when it stepped down. */
   LogPosition mFinalPosition;
   std::string mTarget;
+  std::string mReturnedLeader;
 };
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
@@ -162,6 +162,30 @@
          target->second.mStatus->mRole == MemberRole::Primary;
 }
 
+std::size_t
+LeadershipTransfer::Reports() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mFollowers.begin(), mFollowers.end(), [this](const auto& aFollower) {
+      const auto& [member, state] = aFollower;
+      const bool hasReported =
+        IsSynchronous() ? state.mFinalPosition.has_value() : state.mStatus.has_value();
+      return member != mRequest.mReplaced && state.mIsListed && hasReported;
+    }));
+}
+
+std::size_t
+LeadershipTransfer::NeededReports() const
+{
+  const auto members =
+    std::count_if(mFollowers.begin(), mFollowers.end(), [this](const auto& aFollower) {
+      return aFollower.first != mRequest.mReplaced && aFollower.second.mIsListed;
+    });
+  return IsSynchronous() ? RequiredReports(static_cast<std::size_t>(members),
+                                           mRequest.mSynchronousReplicas)
+                         : 1;
+}
+
 LogPosition
 LeadershipTransfer::TargetPosition() const
 {
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -141,12 +141,14 @@
     /** Earliest time of the next write of the roster's row. */
     TimePoint mRosterWriteAt;
     PauseCheck mPauseCheck;
-    /** A member is asked whether it leads. */
+    /** The replaced primary is asked whether it leads. */
     bool mIsConfirmingLeader = false;
-    /** When the presumed leader last replied that it leads. */
+    /** When the replaced primary last replied that it leads. */
     std::optional<TimePoint> mLeaderConfirmedAt;
-    /** The presumed leader has not replied that it leads. */
+    /** The replaced primary has not replied that it leads. */
     bool mIsLeaderLost = false;
+    /** Member that has replied that it leads, and so ended the last transfer. */
+    std::string mReturnedLeader;
     /** The member that is promoted leads already. */
     bool mIsTargetLeading = false;
     /** The row that is being written ends a claim whose pauses no promotion ends. */
@@ -336,11 +338,10 @@
   /** Cancels a transfer that has not led to a promotion. Its pauses end when its claim is
    * withdrawn or another one leads to a promotion. */
   void CancelTransfer(GroupPromotion& aPromotion);
-  /** Asks a member whether it leads; the reply sets mLeaderConfirmedAt or mIsLeaderLost.
-   */
+  /** Asks the replaced primary whether it leads; the reply sets mLeaderConfirmedAt or
+   * mIsLeaderLost. */
   void ConfirmLeader(const std::string& aGroup,
                      GroupPromotion& aPromotion,
-                     const std::string& aMember,
                      TimePoint aNow);
 
   // Implemented in promotioncoordinator_pauses.cpp.
--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -33,14 +33,25 @@
   if (aNow < waitsUntil || aNow - seen->mSeenAt < delay) {
     return true;
   }
-  // Leases on a member whose promotion was refused have to expire like those on any
-  // other.
-  const std::string& replaced = isRefused ? row->mLeader : row->mMember;
-  aPromotion.mReplaced = replaced == "-" ? std::string() : replaced;
   const PrimaryHealth health = mHooks.mPrimaryHealth(aGroup, aNow);
-  const bool hasReason = health.mMember.empty() || !health.mIsListed ||
-                         health.mIsDraining || health.mDownSince;
+  const std::string returned = std::exchange(aPromotion.mReturnedLeader, {});
+  // The directory may not show yet that a member which has returned leads.
+  const bool isShown = returned.empty() || returned == health.mMember;
+  const bool hasReason = isShown && (health.mMember.empty() || !health.mIsListed ||
+                                     health.mIsDraining || health.mDownSince);
   const bool isPlatformEnforcing = mEnforcer == LeadershipEnforcer::Platform;
+  if (!returned.empty()) {
+    aPromotion.mReplaced = returned;
+  } else if (isPlatformEnforcing && !health.mMember.empty()) {
+    // A member that leads there is the newest leader: the replaced one, possibly under
+    // another id, or one that a claim without a transfer has promoted.
+    aPromotion.mReplaced = health.mMember;
+  } else {
+    // Leases on a member whose promotion was refused have to expire like those on any
+    // other.
+    const std::string& replaced = isRefused ? row->mLeader : row->mMember;
+    aPromotion.mReplaced = replaced == "-" ? std::string() : replaced;
+  }
   const bool needsLeader = aPromotion.mNeedsLeader && !isPlatformEnforcing;
   if (row->mLeader != "-" || aPromotion.mReplaced.empty() || needsLeader || hasReason ||
       std::exchange(aPromotion.mIsLeaderLost, false)) {
@@ -51,25 +62,23 @@
     ClaimPromotion(aGroup, aPromotion, "claim_left", aNow);
     return true;
   }
-  // Where the platform terminates old leaderships, a member that leads is the newest
-  // leader: the replaced one under another id, or one that a claim without a transfer has
-  // promoted.
-  const std::string& leader = isPlatformEnforcing ? health.mMember : aPromotion.mReplaced;
   // No statement is sent to the primary during a claim, and a process that has just
   // started has not received any reply from it.
   if (!aPromotion.mLeaderConfirmedAt ||
       aNow - *aPromotion.mLeaderConfirmedAt > kMaxRefutingReplyAge) {
-    ConfirmLeader(aGroup, aPromotion, leader, aNow);
+    ConfirmLeader(aGroup, aPromotion, aNow);
     return true;
   }
   mHooks.mLog(LogLevel::Info,
               "claim_withdrawn",
-              { { "group", aGroup }, { "holder", row->mHolder }, { "member", leader } });
+              { { "group", aGroup },
+                { "holder", row->mHolder },
+                { "member", aPromotion.mReplaced } });
   LeadershipRow settled = *row;
   // The holder of the abandoned claim must not mistake this row for its own.
   settled.mHolder = mInstance;
   settled.mState = LeadershipState::Settled;
-  settled.mLeader = leader;
+  settled.mLeader = aPromotion.mReplaced;
   aPromotion.mRowRevision = seen->mRow.mRevision;
   aPromotion.mEndsPauses = true;
   WriteLeadership(aGroup, aPromotion, settled, aNow);
@@ -79,13 +88,12 @@
 void
 PromotionCoordinator::ConfirmLeader(const std::string& aGroup,
                                     GroupPromotion& aPromotion,
-                                    const std::string& aMember,
                                     TimePoint aNow)
 {
   if (std::exchange(aPromotion.mIsConfirmingLeader, true)) {
     return;
   }
-  mHooks.mSendCommand(aMember,
+  mHooks.mSendCommand(aPromotion.mReplaced,
                       { .mKind = CommandKind::Status },
                       kDemoteTimeout,
                       aNow,
@@ -188,8 +196,11 @@
                 isNotUseful  ? "switchover_given_up"
                 : isReturned ? "replaced_primary_returned"
                              : "too_few_replicas_answered",
-                { { "group", aGroup } });
+                { { "group", aGroup },
+                  { "answers", std::to_string(aPromotion.mTransfer->Reports()) },
+                  { "needed", std::to_string(aPromotion.mTransfer->NeededReports()) } });
     if (isReturned) {
+      aPromotion.mReturnedLeader = aPromotion.mTransfer->ReturnedLeader();
       aPromotion.mLeaderConfirmedAt = aNow;
       aPromotion.mIsLeaderLost = false;
     }
--- a/src/libs/proxy/proxycore_members.cpp
+++ b/src/libs/proxy/proxycore_members.cpp
@@ -20,7 +20,6 @@
     const bool isNew = member.mEntry.mId.empty();
     const bool isRestarted = !isNew && member.mEntry.mStartedAtMs != entry.mStartedAtMs;
     const bool isMoved = !isNew && member.mEntry.mAddress != entry.mAddress;
-    const bool wasPrimary = !isNew && member.mEntry.mRole == MemberRole::Primary;
     if (isNew || !(member.mEntry == entry) || !member.mIsListed) {
       mHooks.mLog(
         LogLevel::Info,
@@ -33,7 +32,7 @@
           { "revision", std::to_string(entry.mRevision) } });
     }
     if (entry.mRole == MemberRole::Primary) {
-      if (!wasPrimary || isRestarted) {
+      if (member.mPrimarySince == 0 || isRestarted) {
         member.mPrimarySince = entry.mRevision;
         member.mNotLeadingUntil = {};
       }
--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -121,6 +121,19 @@
   REQUIRE(fixture.MemberOf(fixture.LastSent(CommandKind::Read)) == "p");
 }
 
+// Guards against a group without a primary after the entry of its primary has expired.
+TEST_CASE("a primary that returns to the directory is the primary again")
+{
+  CoreFixture fixture;
+  std::vector<MemberEntry> others = fixture.mEntries;
+  others.erase(others.begin());
+  fixture.mCore.OnDirectory(others, fixture.mNow);
+  REQUIRE_FALSE(fixture.mCore.PrimaryOf("group", fixture.mNow).mIsListed);
+  fixture.mEntries[0].mRevision = 11;
+  fixture.mCore.OnDirectory(fixture.mEntries, fixture.mNow);
+  REQUIRE(fixture.mCore.PrimaryOf("group", fixture.mNow).mMember == "p");
+}
+
 TEST_CASE(
   "a member whose entry moves to another group receives no reads of the old group")
 {
