Let one synchronous replica renew leases through a longer store outage

Cause: renewals by followers end 8 s after the last contact with the store, so that a claim needn't wait longer for a follower that it can't pause.

Change: with one synchronous replica, a claim has to pause every follower in any case, also those that have left the directory in the last 30 s. Renewals go on for 20 s there. A member that is no longer counted doesn't delay such a claim.

--- a/src/libs/proxy/leadership/leaderleases.cpp
+++ b/src/libs/proxy/leadership/leaderleases.cpp
@@ -25,8 +25,11 @@
 
 } // namespace
 
-LeaderLeases::LeaderLeases(std::function<bool(std::string_view aGroup)> aAreNeeded)
-  : mAreNeeded(std::move(aAreNeeded))
+LeaderLeases::LeaderLeases(
+  LeadershipEnforcer aEnforcer,
+  std::function<std::uint32_t(std::string_view aGroup)> aSynchronousReplicas)
+  : mEnforcer(aEnforcer)
+  , mSynchronousReplicas(std::move(aSynchronousReplicas))
 {
 }
 
@@ -78,18 +81,19 @@
     lease.mFollowerLeaseExpiry = {};
     return;
   }
-  const bool isLeaseValid = aNow <= LeaseExpiry(aGroup) && aNow <= FollowerProofsExpiry();
+  const bool isLeaseValid =
+    aNow <= LeaseExpiry(aGroup) && aNow <= FollowerProofsExpiry(aGroup);
   if (isLeaseValid) {
     lease.mFollowerLeaseExpiry =
       std::min(std::max(lease.mFollowerLeaseExpiry, aAskedAt + kLeaderLease),
-               FollowerProofsExpiry());
+               FollowerProofsExpiry(aGroup));
   }
 }
 
 TimePoint
-LeaderLeases::FollowerProofsExpiry() const
+LeaderLeases::FollowerProofsExpiry(std::string_view aGroup) const
 {
-  return mStoreContactAt + kFollowerProofLimit;
+  return mStoreContactAt + FollowerProofLimit(mSynchronousReplicas(aGroup));
 }
 
 TimePoint
--- a/src/libs/proxy/leadership/leaderleases.h
+++ b/src/libs/proxy/leadership/leaderleases.h
@@ -58,9 +58,11 @@
 class LeaderLeases
 {
 public:
-  /** @param aAreNeeded returns whether the leader of a group may only be used with a
-   * lease on it */
-  explicit LeaderLeases(std::function<bool(std::string_view aGroup)> aAreNeeded);
+  /** @param aSynchronousReplicas returns the number of replicas of a group that receive a
+   * commit before it is acknowledged */
+  LeaderLeases(
+    LeadershipEnforcer aEnforcer,
+    std::function<std::uint32_t(std::string_view aGroup)> aSynchronousReplicas);
 
   /** Updates the leaders from rows of the coordination table: all rows, or those that
    * have changed. */
@@ -85,7 +87,7 @@
   /** @return whether the group's leader may only be used with a lease on it */
   [[nodiscard]] bool AreNeeded(std::string_view aGroup) const
   {
-    return mAreNeeded(aGroup);
+    return IsTerminatedByInstances(mEnforcer, mSynchronousReplicas(aGroup));
   }
   /** @return whether this instance holds a valid lease on the member as the leader of the
    * group, or needs none; no lease is held without a group or a member */
@@ -97,8 +99,8 @@
   [[nodiscard]] std::optional<std::string> Leader(std::string_view aGroup) const;
   /** @return when the lease on the group's leader expires */
   [[nodiscard]] TimePoint LeaseExpiry(std::string_view aGroup) const;
-  /** @return time until which followers can renew leases */
-  [[nodiscard]] TimePoint FollowerProofsExpiry() const;
+  /** @return time until which followers can renew leases on the group's leader */
+  [[nodiscard]] TimePoint FollowerProofsExpiry(std::string_view aGroup) const;
 
 private:
   struct Lease
@@ -110,7 +112,8 @@
     TimePoint mFollowerLeaseExpiry;
   };
 
-  std::function<bool(std::string_view aGroup)> mAreNeeded;
+  LeadershipEnforcer mEnforcer;
+  std::function<std::uint32_t(std::string_view aGroup)> mSynchronousReplicas;
   /** OnRows was called. */
   bool mHasRows = false;
   /** When the last successful read of the rows was sent. */
--- a/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
+++ b/src/libs/proxy/leadership/leadershiptransfer_choice.cpp
@@ -60,7 +60,11 @@
   TimePoint pausedSince = mRequest.mClaimedAt;
   bool areAllPaused = true;
   for (const auto& [member, follower] : mFollowers) {
-    if (member == mRequest.mReplaced || !follower.mDescription.mRenewsLeases) {
+    // With synchronous replicas, a member is only dropped from the list when its proofs
+    // have expired.
+    const bool isDropped = IsSynchronous() && !follower.mIsListed;
+    if (member == mRequest.mReplaced || isDropped ||
+        !follower.mDescription.mRenewsLeases) {
       continue;
     }
     areAllPaused = areAllPaused && follower.mPausedAt;
@@ -72,7 +76,8 @@
     return areAllPaused || aNow - mStepStartedAt >= kCandidateReplyTimeout;
   }
   return (areAllPaused && aNow - pausedSince > kLeaderLease) ||
-         aNow - mRequest.mClaimedAt > kFollowerProofLimit + kStoreContactError;
+         aNow - mRequest.mClaimedAt >
+           FollowerProofLimit(mRequest.mSynchronousReplicas) + kStoreContactError;
 }
 
 void
--- a/src/libs/proxy/leadership/leasetimes.h
+++ b/src/libs/proxy/leadership/leasetimes.h
@@ -2,6 +2,8 @@
 
 #include "core/timetypes.h"
 
+#include <cstdint>
+
 namespace papayaspindle::proxy {
 
 using namespace std::chrono_literals;
@@ -18,6 +20,10 @@
  * longer than most outages of the store (4 to 7 s). A claim that can't pause every
  * follower has to wait as long. */
 constexpr Duration kFollowerProofLimit = 8s;
+/** The same with one synchronous replica, where a claim has to pause every follower in
+ * any case. Below kDepartedMemberRetention, for which a claim awaits a follower that has
+ * left the directory. */
+constexpr Duration kSoleReplicaProofLimit = 20s;
 /** Maximum error of the time that is recorded for a contact with the store. */
 constexpr Duration kStoreContactError = 500ms;
 /** The store is read once a lease is valid for less than this time. */
@@ -31,6 +37,14 @@
  * The last contact with the store is never much longer ago. */
 constexpr Duration kLeaseFeedWait = 2s;
 
+/** @return how long followers can renew leases of a group after the last contact with the
+ * store */
+constexpr Duration
+FollowerProofLimit(std::uint32_t aSynchronousReplicas)
+{
+  return aSynchronousReplicas == 1 ? kSoleReplicaProofLimit : kFollowerProofLimit;
+}
+
 /** Timeout for the old leader's reply that it has stepped down. */
 constexpr Duration kDemoteTimeout = 300ms;
 /** Time for which a transfer waits for a replica to receive the last commits of a leader
