Renew leases as soon as the groups are known

Cause: since leases depend on the group, LeaseKeeper checked once a second while it knew no group, also where every group needs leases, so that a process served nothing for up to a second after it had read its configuration.

Change: the keeper checks at once when the groups or the homes have changed.

The new test in tst_leaderleases guards against it.

--- a/src/libs/proxy/leadership/leasekeeper.h
+++ b/src/libs/proxy/leadership/leasekeeper.h
@@ -44,6 +44,9 @@
   LeaseKeeper(std::string aZone, LeaderLeases& aLeases, LeaseKeeperHooks aHooks);
 
   void OnTimer(TimePoint aNow);
+  /** Makes the next OnTimer consider all groups. Called when the groups or their settings
+   * may have changed. */
+  void OnGroupsChanged() { mNextCheck = TimePoint(); }
   /** @return when OnTimer has to be called next */
   [[nodiscard]] TimePoint NextTimer() const { return mNextCheck; }
 
--- a/tests/auto/exploration/simulatedinstance.h
+++ b/tests/auto/exploration/simulatedinstance.h
@@ -56,6 +56,7 @@
         [this] { return mContext.mClock.Now(); },
         [this](std::span<const proxy::RegisteredInstance> aInstances) {
           mHomes.SetInstances(aInstances);
+          mKeeper.OnGroupsChanged();
           mCore.OnRoutesToMembersChanged(mContext.mClock.Now());
         })
     , mPromotions(aSetup.mName, aSetup.mEnforcer, Store(), CoordinatorHooks())
--- a/tests/auto/proxy/tst_leaderleases.cpp
+++ b/tests/auto/proxy/tst_leaderleases.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy/leadership/coordinationrows.h"
 #include "proxy/leadership/leaderleases.h"
+#include "proxy/leadership/leasekeeper.h"
 #include "proxy/leadership/leasetimes.h"
 #include "proxy/leadership/storeclock.h"
 
@@ -212,3 +213,26 @@
   REQUIRE(*clock.EarliestLocalTime(reading(kStart + 3s)) <= kStart + 3s);
   REQUIRE(*clock.EarliestLocalTime(reading(kStart + 3s)) >= kStart + 2995ms);
 }
+
+// Guards against a process that serves no group for a second after it has read its
+// configuration.
+TEST_CASE("a process renews leases as soon as it knows its groups")
+{
+  LeaderLeases leases = Leases(LeadershipEnforcer::Instances);
+  std::vector<std::string> groups;
+  std::size_t reads = 0;
+  LeaseKeeperHooks hooks;
+  hooks.mGroups = [&groups] { return groups; };
+  hooks.mFollowers = [](std::string_view) { return std::vector<MemberEntry>(); };
+  hooks.mLeaderZone = [](std::string_view) { return std::optional<std::string>(); };
+  hooks.mReadStore = [&reads](TimePoint) { reads++; };
+  hooks.mNow = [] { return kStart; };
+  LeaseKeeper keeper("zone-a", leases, hooks);
+  keeper.OnTimer(kStart);
+  REQUIRE(reads == 0);
+  groups = { "group" };
+  keeper.OnGroupsChanged();
+  REQUIRE(keeper.NextTimer() <= kStart + 1ms);
+  keeper.OnTimer(kStart + 1ms);
+  REQUIRE(reads == 1);
+}
