--- /dev/null
+++ b/review/13/case.py
@@ -0,0 +1,128 @@
+"""After a drill of the store, a second holder promotes with a fencing token that was used before."""
+
+import asyncio
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-3"))
+from deployment import Client, Deployment, Record, Refused, now  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+AWAY_S = 1
+# Pause until the next primary crashes.
+SECOND_CRASH_S = 1
+ZONES = ["z-a", "z-b", "z-c", "z-a", "z-b", "z-c"]
+ROUTES = {"main": ("g1", "primary"), "views": ("g2", "bounded"), "ledger": ("g3", "read_your_writes")}
+
+
+class Writer:
+    """A client that writes to the primary's route at one instance and reads what it wrote."""
+
+    def __init__(self, instance, record, number):
+        self.instance, self.record, self.number = instance, record, number
+        self.acknowledged = {}  # item -> (sent at, answered at)
+        self.codes = {}
+
+    async def run(self):
+        count = 0
+        while True:
+            client = Client(self.instance, self.record)
+            try:
+                await client.open("main")
+                while True:
+                    count += 1
+                    item = f"k{self.number}x{count}"
+                    sent = now()
+                    try:
+                        await client.query(f"w{self.number}x{count}", f"WRITE {item} data")
+                        self.acknowledged[item] = (sent, now())
+                    except Refused as refusal:
+                        self.codes[refusal.args[0]] = self.codes.get(refusal.args[0], 0) + 1
+                    await asyncio.sleep(0.05)
+            except (Refused, OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+            finally:
+                client.close()
+
+
+async def until(condition, limit_s, what):
+    end = now() + limit_s
+    while not condition():
+        if now() > end:
+            raise RuntimeError("not in time: " + what)
+        await asyncio.sleep(0.02)
+
+
+async def crash_primary(group, record, down_s):
+    """The primary crashes and comes back with its log, as a replica if another was promoted."""
+    old, before = group.leader, len(group.promoted)
+    record.say(f"MEMBER {old.name}, the primary, crashes")
+    old.crash()
+    crashed = now()
+    await until(lambda: len(group.promoted) > before, 15, "a promotion")
+    await asyncio.sleep(max(0, down_s - (now() - crashed)))
+    old.run()
+    group.report(old)
+    record.say(f"MEMBER {old.name} is back as {old.role}")
+    return crashed
+
+
+async def run(record):
+    async with Deployment(record, ZONES, ["g1", "g2", "g3"]) as system:
+        group = system.groups["g1"]
+        system.configure(ROUTES)
+        await system.start_instances()
+        writers = [Writer(i, record, n) for n, i in enumerate(system.instances)]
+        tasks = [asyncio.create_task(w.run()) for w in writers]
+        await asyncio.sleep(15)
+        crashed = await crash_primary(group, record, 5)
+        # The machine that promoted is removed for good, as planned, while the drill takes place.
+        holder = system.cloud.calls[-1]["holder"]
+        removed = next(i for i in system.instances if i.name == holder)
+        stopping = asyncio.create_task(removed.stop())
+        if TROUBLE:
+            await system.store.drill(now() - crashed + 0.5, AWAY_S)
+        await stopping
+        for task, writer in zip(tasks, writers):
+            if writer.instance is removed:
+                task.cancel()
+        await asyncio.sleep(SECOND_CRASH_S)
+        try:
+            await crash_primary(group, record, 5)
+        except RuntimeError as error:
+            record.say(f"{error}: no second holder")
+        await asyncio.sleep(3)
+        for task in tasks:
+            task.cancel()
+        return judge(record, system)
+
+
+def judge(record, system):
+    """ONE: two holders promote with the same fencing token."""
+    broken, tokens = [], {}
+    for call in system.cloud.calls:
+        if call["status"] == 200:
+            tokens.setdefault((call["group"], call["token"]), {})[call["holder"]] = call
+    for (name, token), holders in tokens.items():
+        if len(holders) > 1:
+            broken.append(f"token {token} of {name}: " + " and ".join(
+                f"{c['holder']} promotes {c['member']} at {c['at']:.3f}" for c in holders.values()))
+    record.say(f"{len(system.cloud.calls)} calls to the promotion service")
+    return broken
+
+
+def main():
+    record = Record(os.path.join(HERE, "record.txt"))
+    try:
+        broken = asyncio.run(asyncio.wait_for(run(record), 115))
+    except Exception as error:  # pylint: disable=broad-except
+        record.say(f"NOT RUN: {type(error).__name__} {error}")
+        return 2
+    for line in broken[:40]:
+        record.say(f"BROKEN {line}")
+    record.say("RESULT " + (f"ONE is broken, {len(broken)} times" if broken else "the rule held"))
+    return 1 if broken else 0
+
+
+sys.exit(main())
