--- a/src/libs/proxy/rowstore.h
+++ b/src/libs/proxy/rowstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timetypes.h"
+#include "proxy/storefailure.h"
 
 #include <cstdint>
 #include <functional>
@@ -34,15 +35,6 @@
   Duration mAge{};
 };
 
-/** Reason why a call to the store has no result. */
-enum class StoreFailure : std::uint8_t
-{
-  /** The store refused the call, or the call was not sent; it had no effect. */
-  Refused,
-  /** No answer arrived; the call may have taken effect or may still do so. */
-  NoAnswer,
-};
-
 /** A write that takes effect only if the row still has the expected revision. */
 struct ConditionalWrite
 {
--- a/src/libs/proxy/tables/tablefollower.cpp
+++ b/src/libs/proxy/tables/tablefollower.cpp
@@ -201,7 +201,10 @@
   mIsReadFromStore = true;
   mHasHistory = true;
   if (mCopy.Replace(aSnapshot.mRows, aSnapshot.mRevision)) {
+    mHasReportedOlderSnapshot = false;
     mHooks.mOnRowsChanged(mCopy.Rows());
+  } else {
+    ReportOlderSnapshot(aSnapshot);
   }
 }
 
@@ -210,7 +213,7 @@
 {
   const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
   if (snapshot == nullptr) {
-    OnStoreFailure();
+    OnStoreFailure({ "read", std::get<StoreFailure>(aResult) });
     return;
   }
   ApplySnapshot(*snapshot);
@@ -226,6 +229,7 @@
   }
   const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
   if (snapshot == nullptr) {
+    mLastFailure = { "probe", std::get<StoreFailure>(aResult) };
     mProbeAt = mHooks.mNow() + kProbeInterval;
     return;
   }
@@ -238,8 +242,8 @@
 void
 TableFollower::OnFeed(const FeedResult& aResult, TimePoint aSentAt)
 {
-  if (std::holds_alternative<StoreFailure>(aResult)) {
-    OnStoreFailure();
+  if (const auto* failure = std::get_if<StoreFailure>(&aResult)) {
+    OnStoreFailure({ "feed", *failure });
     return;
   }
   RestoreContact();
@@ -247,10 +251,10 @@
   mBackoff = {};
   mIsReadFromStore = true;
   if (std::holds_alternative<HistoryLost>(aResult)) {
-    mHasHistory = false;
-    OnSuccess(mAsOf);
+    OnHistoryLost();
     return;
   }
+  mHasReportedHistoryLoss = false;
   const TableChanges& changes = std::get<TableChanges>(aResult);
   if (mCopy.Apply(changes.mRows, changes.mRevision)) {
     mHooks.mOnRowsChanged(mCopy.Rows());
@@ -298,8 +302,56 @@
 }
 
 void
-TableFollower::OnStoreFailure()
+TableFollower::OnHistoryLost()
+{
+  Count("store_history_lost");
+  if (!mHasReportedHistoryLoss) {
+    mHasReportedHistoryLoss = true;
+    Log(LogLevel::Info,
+        "table_history_lost",
+        { { "table", mTable }, { "revision", std::to_string(mCopy.Revision()) } });
+  }
+  mHasHistory = false;
+  OnSuccess(mAsOf);
+}
+
+void
+TableFollower::ReportOlderSnapshot(const TableSnapshot& aSnapshot)
+{
+  Count("table_snapshot_older");
+  if (mHasReportedOlderSnapshot) {
+    return;
+  }
+  mHasReportedOlderSnapshot = true;
+  Log(LogLevel::Warning,
+      "table_snapshot_older",
+      { { "table", mTable },
+        { "revision", std::to_string(mCopy.Revision()) },
+        { "store_revision", std::to_string(aSnapshot.mRevision) } });
+}
+
+void
+TableFollower::Log(LogLevel aLevel,
+                   std::string_view aEvent,
+                   std::initializer_list<LogField> aFields) const
+{
+  if (mHooks.mLog) {
+    mHooks.mLog(aLevel, aEvent, aFields);
+  }
+}
+
+void
+TableFollower::Count(std::string_view aName) const
+{
+  if (mHooks.mCount) {
+    mHooks.mCount(aName);
+  }
+}
+
+void
+TableFollower::OnStoreFailure(FailedStoreCall aCall)
 {
+  mLastFailure = aCall;
   const TimePoint now = mHooks.mNow();
   const Duration maxBackoff =
     mHooks.mReaders().mReaders.empty() ? kMaxBackoff : kMaxBackoffWithReaders;
--- a/src/libs/proxy/tables/tablefollower.h
+++ b/src/libs/proxy/tables/tablefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timetypes.h"
+#include "observe/log.h"
 #include "proxy/tables/readerchoice.h"
 #include "proxy/tables/relaymessages.h"
 #include "proxy/tables/tablechanges.h"
@@ -9,9 +10,11 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace papayaspindle::proxy {
@@ -43,6 +46,19 @@
   /** Called when the source of the rows is lost (false) or answers again (true). */
   std::function<void(bool)> mOnContactChanged;
   std::function<TimePoint()> mNow;
+  /** May be empty. */
+  std::function<void(LogLevel, std::string_view aEvent, std::initializer_list<LogField>)>
+    mLog;
+  /** Increases a counter. May be empty. */
+  std::function<void(std::string_view aName)> mCount;
+};
+
+/** A call of a follower to the store that has failed. */
+struct FailedStoreCall
+{
+  /** "read", "feed" or "probe". */
+  std::string_view mCall = "none";
+  StoreFailure mReason = StoreFailure::NotSent;
 };
 
 /**
@@ -76,7 +92,11 @@
   [[nodiscard]] const std::string& Table() const { return mTable; }
   /** @return whether the last call to the store has failed */
   [[nodiscard]] bool IsStoreLost() const { return mIsStoreLost; }
+  /** @return the last call to the store that has failed */
+  [[nodiscard]] const FailedStoreCall& LastFailure() const { return mLastFailure; }
   [[nodiscard]] const TableCopy& Copy() const { return mCopy; }
+  /** @return when the copy was known to be the newest, whatever its source */
+  [[nodiscard]] TimePoint AsOf() const { return mAsOf; }
   /** @return when the copy was known to be the newest; nothing if it isn't read from the
    * store itself or the store is unavailable */
   [[nodiscard]] std::optional<TimePoint> ReadAsOf() const;
@@ -99,7 +119,14 @@
   void OnRelayed(const std::string& aReader,
                  const std::optional<RelayAnswer>& aAnswer,
                  TimePoint aSentAt);
-  void OnStoreFailure();
+  void OnStoreFailure(FailedStoreCall aCall);
+  void OnHistoryLost();
+  /** Reports that the store has answered with an older revision than that of the copy. */
+  void ReportOlderSnapshot(const TableSnapshot& aSnapshot);
+  void Log(LogLevel aLevel,
+           std::string_view aEvent,
+           std::initializer_list<LogField> aFields) const;
+  void Count(std::string_view aName) const;
   /** @return maximum age of a usable answer of another instance */
   [[nodiscard]] Duration MaxRelayedAge() const;
   /** Reports that the source answers. Called before the rows are passed on, because they
@@ -126,6 +153,11 @@
   TimePoint mAsOf;
   /** The last call to the store has failed. */
   bool mIsStoreLost = false;
+  FailedStoreCall mLastFailure;
+  /** The loss of the history was logged, and no changes have arrived since. */
+  bool mHasReportedHistoryLoss = false;
+  /** An older snapshot was logged, and no newer one has arrived since. */
+  bool mHasReportedOlderSnapshot = false;
   bool mIsProbing = false;
   /** When the store is probed next while substitutes are queried. */
   TimePoint mProbeAt = TimePoint::max();
