--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -8,13 +8,14 @@
 import tempfile
 import time
 
-from standin import HOST, MAX_LINE_BYTES, FaultProxy, Group, Store
+from rowstore import HOST, Store
+from standin import MAX_LINE_BYTES, FaultProxy, Group
 
 # Error codes which promise that the attempt had no effect.
 NO_EFFECT_CODES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NOAUTH"}
 
 
-next_port = 20000 + os.getpid() * 100 % 10000
+next_port = 10000 + os.getpid() * 100 % 10000
 
 
 def free_ports(count):
@@ -40,8 +41,8 @@
     """An entry instance as a separate process, with a fault proxy before the store."""
 
     def __init__(self, binary, directory, name, store_port, descriptors=1000, memory_mb=260,
-                 client_limits=None, has_customers=False):
-        self.binary, self.directory, self.name = binary, directory, name
+                 client_limits=None, has_customers=False, zone="z1"):
+        self.binary, self.directory, self.name, self.zone = binary, directory, name, zone
         self.descriptors, self.memory_mb = descriptors, memory_mb
         self.client_limits, self.has_customers = client_limits, has_customers
         base = free_ports(18)
@@ -53,7 +54,7 @@
         await self.proxy.start()
         store = {"address": f"{HOST}:{self.proxy.port}"}
         settings = {
-            "node": self.name, "zone": "z1", "ip": HOST,
+            "node": self.name, "zone": self.zone, "ip": HOST,
             "listen": {"frontend": f"{HOST}:{self.port}", "readiness": f"{HOST}:{self.ready_port}"},
             "internalPorts": [self.metrics_port, self.metrics_port + 15],
             "limits": {"cpuShare": 1, "memoryMb": self.memory_mb, "maxFds": self.descriptors},
@@ -208,33 +209,41 @@
     """Entry instances, a store and one database group, for the time of a `with` block."""
 
     def __init__(self, binary, instances=3, lag_s=0.05, descriptors=1000, memory_mb=260,
-                 client_limits=None, tenants=None, connections=32, idle_ms=3000):
+                 client_limits=None, tenants=None, connections=32, idle_ms=3000, zones=1, groups=("g1",),
+                 store=None, start_s=15):
         """`tenants` is the list of customers, or returns it for each version of the configuration,
         `connections` the limit of connections to a member,
-        `idle_ms` the time after which an idle transaction ends."""
+        `idle_ms` the time after which an idle transaction ends, `zones` the number of zones of the
+        instances, `start_s` the time until they have to be ready."""
         self.binary, self.lag_s, self.descriptors = binary, lag_s, descriptors
         self.connections, self.idle_ms = connections, idle_ms
         self.memory_mb, self.client_limits, self.tenants = memory_mb, client_limits, tenants
         self.directory = tempfile.mkdtemp(prefix="papayaspindle-e2e-")
         self.names = [f"instance-{n}" for n in range(instances)]
+        self.zones, self.group_names, self.start_s = zones, groups, start_s
+        self.store = store or Store()
         self.version = 0
+        # Group of each database that isn't routed to the first one.
+        self.backends = {}
         self.databases = {"main": "primary", "views": "bounded", "ledger": "read_your_writes"}
         self.public = set()
 
     async def __aenter__(self):
-        self.store = Store()
         await self.store.start()
-        self.group = Group(self.store, "g1", 3, self.lag_s)
-        await self.group.start()
+        self.groups = {name: Group(self.store, name, 3, self.lag_s) for name in self.group_names}
+        for group in self.groups.values():
+            await group.start()
+        self.group = self.groups[self.group_names[0]]
         self.configure()
         self.instances = [
             Instance(self.binary, self.directory, n, self.store.port, self.descriptors,
-                     self.memory_mb, self.client_limits, self.tenants is not None) for n in self.names
+                     self.memory_mb, self.client_limits, self.tenants is not None,
+                     f"z{number % self.zones + 1}") for number, n in enumerate(self.names)
         ]
         for instance in self.instances:
             await instance.prepare()
             await instance.start()
-        await self.until(self.all_ready, 15, "instances are ready")
+        await self.until(self.all_ready, self.start_s, "instances are ready")
         return self
 
     async def __aexit__(self, *_):
@@ -247,13 +256,13 @@
         self.version += 3
         routes = [
             {"name": f"r-{d}", "host": d, "prefix": "/", "routeType": kind, "timeoutMs": 800,
-             "targetLatencyMs": 200, "priority": 1, "backend": "g1", "attempts": 2, "public": d in self.public,
+             "targetLatencyMs": 200, "priority": 1, "backend": self.backends.get(d, self.group_names[0]), "attempts": 2, "public": d in self.public,
              **({} if kind == "primary" else {"maxStalenessMs": 1500})}
             for d, kind in self.databases.items()
         ]
         config = {
             "version": self.version, "routes": routes,
-            "backends": [{"name": "g1", "maxConns": self.connections, "syncReplicas": 0}],
+            "backends": [{"name": g, "maxConns": self.connections, "syncReplicas": 0} for g in self.group_names],
             "limits": {"txIdleMs": self.idle_ms},
         }
         if self.tenants:
@@ -261,7 +270,15 @@
         self.store.put("op", "config", json.dumps(config).encode())
 
     async def all_ready(self):
-        return all([await i.is_ready() for i in self.instances])
+        return all(await asyncio.gather(*[i.is_ready() for i in self.instances]))
+
+    async def heartbeat(self):
+        """Writes the members' rows again at the interval of the users' sites."""
+        while True:
+            await asyncio.sleep(1.2)
+            for group in self.groups.values():
+                if self.store.mode != "away":
+                    group.publish()
 
     async def until(self, condition, limit_s, what):
         end = time.monotonic() + limit_s
--- a/tests/e2e/standin.py
+++ b/tests/e2e/standin.py
@@ -1,15 +1,14 @@
-"""Stand-ins on loopback for the users' platform: the row store, which also handles promotion
-requests, and database groups whose members use the line protocol.
+"""Stand-ins on loopback for the users' platform: database groups whose members use the line
+protocol, and a proxy that breaks connections. The row store is in rowstore.py.
 """
 
 import asyncio
-import base64
 import itertools
 import json
 import time
-import urllib.parse
 
-HOST = "127.0.0.1"
+from rowstore import HOST
+
 # The longest message of the protocol has 1 MiB; the rest is a margin.
 MAX_LINE_BYTES = (1 << 20) + 4096
 
@@ -62,135 +61,6 @@
             writer.transport.abort()
 
 
-class Store:
-    """The row store, which also handles promotion requests."""
-
-    def __init__(self):
-        self.rows = {}  # (table, key) -> (value bytes, ver)
-        self.changes = []  # (ver, table, key, value or None)
-        self.ver = 0
-        self.mode = "ok"  # ok, busy, lost, endless
-        self.groups = {}
-        self.token = {}
-        self.changed = asyncio.Event()
-        self.port = None
-
-    async def start(self):
-        server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = server.sockets[0].getsockname()[1]
-
-    def put(self, table, key, value):
-        self.ver += 1
-        if value is None:
-            self.rows.pop((table, key), None)
-        else:
-            self.rows[(table, key)] = (value, self.ver)
-        self.changes.append((self.ver, table, key, value))
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    def forget_history(self):
-        self.changes = []
-
-    async def _serve(self, reader, writer):
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                method, target, _ = head.split("\r\n")[0].split(" ")
-                headers = dict(
-                    line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
-                )
-                body = await reader.readexactly(int(headers.get("content-length", 0)))
-                if self.mode == "endless":
-                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 1000000000000\r\n\r\n")
-                    while self.mode == "endless":
-                        writer.write(b"x" * 65536)
-                        await writer.drain()
-                    writer.transport.abort()
-                    return
-                status, answer = await self._answer(method, target, headers, body)
-                if status is None:
-                    writer.transport.abort()
-                    return
-                text = json.dumps(answer).encode()
-                writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(text)}\r\n\r\n".encode() + text
-                )
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.transport.abort()
-
-    async def _answer(self, method, target, headers, body):
-        url = urllib.parse.urlparse(target)
-        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
-        if self.mode == "busy":
-            return 503, {}
-        if url.path == "/promote":
-            return self._promote(headers, json.loads(body))
-        if url.path == "/v1/rows-tx":
-            answer = self._transact(json.loads(body))
-            return (None, None) if self.mode == "lost" else answer
-        if url.path == "/v1/rows-get":
-            rows = [
-                self._row(table, key)
-                for table, key in sorted(self.rows)
-                if table == query["table"] and key >= query.get("from", "")
-            ]
-            return 200, {"rows": rows, "hasMore": False, **self._now()}
-        return await self._feed(query)
-
-    def _now(self):
-        return {"ver": self.ver, "nowMs": int(time.monotonic() * 1000)}
-
-    def _row(self, table, key):
-        value, ver = self.rows[(table, key)]
-        text = base64.b64encode(value).decode()
-        return {"table": table, "part": "", "key": key, "value": text, "ver": ver}
-
-    def _transact(self, body):
-        for row in body.get("expect", []):
-            found = self.rows.get((row["table"], row["key"]))
-            if (found[1] if found else 0) != row["ver"]:
-                return 412, {"rows": [], **self._now()}
-        for row in body["writes"]:
-            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
-        return 200, self._now()
-
-    async def _feed(self, query):
-        after, table = int(query["after"]), query["table"]
-        end = time.monotonic() + int(query["waitMs"]) / 1000
-        while True:
-            oldest = self.changes[0][0] if self.changes else self.ver + 1
-            if after + 1 < oldest:
-                return 410, {}
-            rows = []
-            for ver, of, key, value in self.changes:
-                if of == table and ver > after:
-                    row = {"table": of, "part": "", "key": key, "ver": ver}
-                    text = base64.b64encode(value or b"").decode()
-                    rows.append(row | ({"deleted": True} if value is None else {"value": text}))
-            left = end - time.monotonic()
-            if rows or left <= 0:
-                return 200, {"rows": rows, **self._now()}
-            try:
-                await asyncio.wait_for(self.changed.wait(), left)
-            except asyncio.TimeoutError:
-                pass
-
-    def _promote(self, headers, body):
-        group = self.groups[body["backend"]]
-        token = int(headers["x-fencing-token"])
-        member = group.members.get(body["id"])
-        if token < self.token.get(group.name, 0) or member is None or not member.is_alive:
-            return 409, {}
-        self.token[group.name] = token
-        group.promote(member)
-        return 200, {}
-
-
 class Member:
     """A member of a database group."""
 
@@ -203,6 +73,7 @@
         self.writers = set()
         self.proxy = None
         self.born = int(time.time() * 1000)
+        self.seq = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, HOST, 0, limit=MAX_LINE_BYTES)
@@ -368,10 +239,11 @@
 
     def publish(self):
         for member in self.members.values():
+            member.seq += 1
             row = {
                 "backend": self.name, "address": f"{HOST}:{member.proxy.port}", "zone": "z1",
                 "version": "v1", "capacity": 2, "state": "ready", "warmupLeftMs": 0,
-                "dbRole": "primary" if member.is_primary else "replica", "seq": 1,
+                "dbRole": "primary" if member.is_primary else "replica", "seq": member.seq,
                 "born": member.born,
             }
             self.store.put("servers", member.name, json.dumps(row).encode() if member.is_alive else None)
