Order what is read from the store by its incarnation

The store was back in an older state: it answered a feed after the old revision with 410 and a read with a lower revision. Three tables of each instance did this at once and used up the store's rates, so that reads failed in turn.

An answer of an earlier incarnation counts as lost; a write that expects a revision of another one isn't sent. An instance that learns of a return, from any answer of the store or of another instance, reads its tables again; a reader that doesn't know of it is refused and told. Repeated losses of the history are followed by pauses.

--- a/src/libs/forwarding/relaycodec.cpp
+++ b/src/libs/forwarding/relaycodec.cpp
@@ -13,6 +13,8 @@
   message.set_after(aRequest.mSinceRevision);
   message.set_wait_us(ToMicroseconds(aRequest.mMaxWait));
   message.set_needs_read(aRequest.mNeedsRead);
+  message.set_incarnation(aRequest.mIncarnation);
+  message.set_after_incarnation(aRequest.mSinceIncarnation);
   return message.SerializeAsString();
 }
 
@@ -28,6 +30,8 @@
   request.mSinceRevision = message.after();
   request.mMaxWait = FromMicroseconds(message.wait_us(), kMaxReceivedWait);
   request.mNeedsRead = message.needs_read();
+  request.mIncarnation = message.incarnation();
+  request.mSinceIncarnation = message.after_incarnation();
   return request;
 }
 
@@ -39,6 +43,7 @@
   message.set_is_full(aAnswer.mIsFull);
   message.set_is_read(aAnswer.mIsRead);
   message.set_revision(aAnswer.mRevision);
+  message.set_incarnation(aAnswer.mIncarnation);
   message.set_age_us(ToMicroseconds(aAnswer.mAge));
   message.set_held_us(ToMicroseconds(aAnswer.mHoldTime));
   for (const proxy::ChangedRow& change : aAnswer.mRows) {
@@ -63,6 +68,7 @@
   answer.mIsFull = message.is_full();
   answer.mIsRead = message.is_read();
   answer.mRevision = message.revision();
+  answer.mIncarnation = message.incarnation();
   // Ages and hold times above the limit are treated as equal to it.
   answer.mAge = FromMicroseconds(message.age_us(), kMaxReceivedWait);
   answer.mHoldTime = FromMicroseconds(message.held_us(), kMaxReceivedWait);
@@ -71,6 +77,7 @@
     change.mRow.mKey = row.key();
     change.mRow.mValue = row.value();
     change.mRow.mRevision = row.revision();
+    change.mRow.mIncarnation = message.incarnation();
     change.mIsRemoved = row.is_removed();
     answer.mRows.push_back(std::move(change));
   }
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -209,6 +209,10 @@
     return;
   }
   const TimePoint now = mNow();
+  if (snapshot->mIncarnation > mOwnVersion.mIncarnation) {
+    // The store may have lost the row.
+    mOwnVersion = { snapshot->mIncarnation, 0 };
+  }
   if (snapshot->mStoreTimeMs != 0) {
     mStoreTimeMs = snapshot->mStoreTimeMs;
     mStoreTimeReadAt = now;
@@ -221,13 +225,13 @@
       mWasListedBefore =
         mWasListedBefore || (mWrittenAt == TimePoint() && IsRowLive(row, *snapshot));
       // The snapshot may predate this instance's last write.
-      mOwnRevision = std::max(mOwnRevision, row.mRevision);
+      mOwnVersion = std::max(mOwnVersion, row.Version());
       continue;
     }
     const auto instance = DecodeInstance(row);
     KnownRow& seen = mKnownRows[row.mKey];
-    if (instance && seen.mRevision != row.mRevision) {
-      seen = { row.mRevision, now, *instance };
+    if (instance && seen.mVersion != row.Version()) {
+      seen = { row.Version(), now, *instance };
     }
   }
   const Duration lifetime = RowLifetimeFor(mKnownRows.size());
@@ -250,8 +254,9 @@
   // Reads that follow each other in less than a heartbeat interval don't need a write
   // each.
   const std::size_t rows = mKnownRows.size();
-  const bool isDue = mOwnRevision == 0 || now - mWrittenAt >= HeartbeatIntervalFor(rows) -
-                                                                ReadIntervalFor(rows) / 2;
+  const bool isDue =
+    mOwnVersion.mRevision == 0 ||
+    now - mWrittenAt >= HeartbeatIntervalFor(rows) - ReadIntervalFor(rows) / 2;
   if (isDue) {
     WriteRow();
   }
@@ -265,11 +270,12 @@
   row.mTable = kInstanceTable;
   row.mKey = mSelf.mInstance;
   row.mValue = EncodeInstance(mSelf, mHeartbeatCount, StoreTimeMs(mWrittenAt));
-  row.mRevision = mOwnRevision;
+  row.mRevision = mOwnVersion.mRevision;
+  row.mIncarnation = mOwnVersion.mIncarnation;
   // The next heartbeat repeats a write that was lost.
   mStore.mWrite({ row }, [this, sentAt = mWrittenAt](const WriteResult& aResult) {
     if (const auto* written = std::get_if<Written>(&aResult)) {
-      mOwnRevision = written->mRevision;
+      mOwnVersion = std::max(mOwnVersion, { written->mIncarnation, written->mRevision });
       mConfirmedAt = std::max(mConfirmedAt, sentAt);
     }
   });
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -64,7 +64,7 @@
 private:
   struct KnownRow
   {
-    std::uint64_t mRevision = 0;
+    StoreRevision mVersion;
     TimePoint mChangedAt;
     RegisteredInstance mInstance;
   };
@@ -85,7 +85,8 @@
   std::function<TimePoint()> mNow;
   ChangedHook mHook;
   std::map<std::string, KnownRow> mKnownRows;
-  std::uint64_t mOwnRevision = 0;
+  /** Version of the own row; its incarnation is the newest one that was read. */
+  StoreRevision mOwnVersion;
   TimePoint mWrittenAt;
   TimePoint mConfirmedAt;
   /** Time of the store's clock at the last read that reported it; 0 before. */
--- a/src/libs/proxy/leadership/leaderleases.cpp
+++ b/src/libs/proxy/leadership/leaderleases.cpp
@@ -44,10 +44,10 @@
     }
     Lease& lease = mLeases[std::string(*group)];
     // A feed and a read can deliver the same change in either order.
-    if (row.mRevision <= lease.mRevision) {
+    if (row.Version() <= lease.mVersion) {
       continue;
     }
-    lease.mRevision = row.mRevision;
+    lease.mVersion = row.Version();
     lease.mLeader = LeaderOfRow(row.mValue);
     lease.mFollowerLeaseExpiry = {};
   }
--- a/src/libs/proxy/leadership/leaderleases.h
+++ b/src/libs/proxy/leadership/leaderleases.h
@@ -105,7 +105,7 @@
 private:
   struct Lease
   {
-    std::uint64_t mRevision = 0;
+    StoreRevision mVersion;
     /** Leader that the newest row names, in the form that Leader() returns. */
     std::optional<std::string> mLeader;
     /** Expiry of the lease as renewed by followers. */
--- a/src/libs/proxy/leadership/pausecheck.h
+++ b/src/libs/proxy/leadership/pausecheck.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/timetypes.h"
+#include "proxy/storerevision.h"
 
-#include <cstdint>
 #include <set>
 #include <string>
 
@@ -12,7 +12,7 @@
 struct PauseCheck
 {
   /** Revision of the leadership row that the findings belong to. */
-  std::uint64_t mRevision = 0;
+  StoreRevision mVersion;
   /** Members that receive log entries. */
   std::set<std::string> mReceiving;
   std::set<std::string> mPaused;
--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -24,7 +24,7 @@
 {
   for (const StoredRow& row : aRows) {
     SeenRow& seen = mRows[row.mKey];
-    if (seen.mRow.mRevision != row.mRevision) {
+    if (seen.mRow.Version() != row.Version()) {
       // The age of rows from the first read is unknown. Where a claim relies on pauses, a
       // leadership row from the first read is treated as new, because it may have been
       // written just before.
@@ -247,6 +247,7 @@
   row.mKey = key;
   row.mValue = Encode(SuspicionReport{ aMember, aIsAlive });
   row.mRevision = seen == nullptr ? 0 : seen->mRow.mRevision;
+  row.mIncarnation = seen == nullptr ? mIncarnation : seen->mRow.mIncarnation;
   mHooks.mLog(LogLevel::Info,
               aIsAlive ? "primary_vouched_for" : "primary_doubted",
               { { "group", aGroup }, { "member", aMember } });
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -84,6 +84,8 @@
 
   /** Updates the coordinator with the current rows of the whole coordination table. */
   void OnRows(std::span<const StoredRow> aRows, TimePoint aNow);
+  /** Sets the incarnation of the store whose rows are expected from now on. */
+  void OnIncarnation(std::uint64_t aIncarnation) { mIncarnation = aIncarnation; }
   void OnTimer(TimePoint aNow);
   /** @return when OnTimer has to be called next */
   [[nodiscard]] TimePoint NextTimer() const { return mNextCheck; }
@@ -166,7 +168,7 @@
     /** Content of the leadership row whose write is in progress. */
     std::optional<LeadershipRow> mRowBeingWritten;
     /** Revision of the last leadership row written by this promotion. */
-    std::uint64_t mRowRevision = 0;
+    StoreRevision mRowVersion;
     /** When the last write of a leadership row was confirmed. */
     TimePoint mRowAt;
     /** When the last write of a leadership row was sent. */
@@ -353,7 +355,7 @@
   void CheckPauses(const std::string& aGroup, GroupPromotion& aPromotion, TimePoint aNow);
   void OnPauseCheckReply(const std::string& aGroup,
                          const std::string& aMember,
-                         std::uint64_t aRevision,
+                         StoreRevision aVersion,
                          const std::optional<MemberReply>& aReply);
   /** Resumes replication on members that a claim has left paused. Rewrites the leadership
    * row first, so that no claim starts while the commands are on their way. */
@@ -371,6 +373,8 @@
   std::map<std::string, GroupPromotion> mPromotions;
   std::map<std::string, SeenRow> mRows;
   bool mHasRows = false;
+  /** Newest known incarnation of the store. */
+  std::uint64_t mIncarnation = 0;
   TimePoint mNextCheck;
 };
 
--- a/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
@@ -62,6 +62,7 @@
   row.mKey = key;
   row.mValue = Encode(claim);
   row.mRevision = seen == nullptr ? 0 : seen->mRow.mRevision;
+  row.mIncarnation = seen == nullptr ? mIncarnation : seen->mRow.mIncarnation;
   mStore.mWrite({ row },
                 [this, aGroup, aState, claim, number = aPromotion.mAttempt](
                   const WriteResult& aResult) {
@@ -92,7 +93,7 @@
   if (const auto* written = std::get_if<Written>(&aResult)) {
     promotion.mRowBeingWritten.reset();
     promotion.mPendingMember = aClaim.mLeader;
-    promotion.mRowRevision = written->mRevision;
+    promotion.mRowVersion = { written->mIncarnation, written->mRevision };
     promotion.mRowAt = now;
     if (NeedsTransfer(aGroup)) {
       StartTransfer(aGroup, promotion, now);
--- a/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
@@ -36,6 +36,7 @@
   row.mKey = key;
   row.mValue = aPromotion.mRoster.StoredValue();
   row.mRevision = seen == nullptr ? 0 : seen->mRow.mRevision;
+  row.mIncarnation = seen == nullptr ? mIncarnation : seen->mRow.mIncarnation;
   mStore.mWrite({ row }, [this, aGroup](const WriteResult& aResult) {
     // After a conflict or a failure, the write is repeated with the row that the feed
     // delivers.
@@ -62,9 +63,9 @@
   if (row->mState == LeadershipState::Claimed || mayBeCalled) {
     return;
   }
-  if (check.mRevision != seen->mRow.mRevision) {
+  if (check.mVersion != seen->mRow.Version()) {
     check = PauseCheck();
-    check.mRevision = seen->mRow.mRevision;
+    check.mVersion = seen->mRow.Version();
   }
   EndPauses(aGroup, aPromotion, aNow);
   if (aNow < check.mNextAt) {
@@ -80,9 +81,9 @@
                         { .mKind = CommandKind::Status },
                         kDemoteTimeout,
                         aNow,
-                        [this, aGroup, id = member.mId, revision = check.mRevision](
+                        [this, aGroup, id = member.mId, version = check.mVersion](
                           const std::optional<MemberReply>& aReply) {
-                          OnPauseCheckReply(aGroup, id, revision, aReply);
+                          OnPauseCheckReply(aGroup, id, version, aReply);
                         });
   }
 }
@@ -90,12 +91,12 @@
 void
 PromotionCoordinator::OnPauseCheckReply(const std::string& aGroup,
                                         const std::string& aMember,
-                                        std::uint64_t aRevision,
+                                        StoreRevision aVersion,
                                         const std::optional<MemberReply>& aReply)
 {
   GroupPromotion& promotion = mPromotions[aGroup];
   PauseCheck& check = promotion.mPauseCheck;
-  if (check.mRevision != aRevision || !aReply || !aReply->mStatus) {
+  if (check.mVersion != aVersion || !aReply || !aReply->mStatus) {
     return;
   }
   const TimePoint now = mHooks.mNow();
@@ -122,7 +123,7 @@
   const auto row = LeadershipOf(aGroup);
   if (check.mPaused.empty() || check.mIsWriting ||
       aPromotion.mPhase != Phase::Monitoring || !row ||
-      seen->mRow.mRevision != check.mRevision) {
+      seen->mRow.Version() != check.mVersion) {
     return;
   }
   // Until the call has taken effect, a pause may be what keeps the old leader from
@@ -138,7 +139,8 @@
   stored.mTable = kCoordinationTable;
   stored.mKey = LeadershipKey(aGroup);
   stored.mValue = Encode(settled);
-  stored.mRevision = check.mRevision;
+  stored.mRevision = check.mVersion.mRevision;
+  stored.mIncarnation = check.mVersion.mIncarnation;
   mStore.mWrite(
     { stored }, [this, aGroup, members, sentAt = aNow](const WriteResult& aResult) {
       const TimePoint now = mHooks.mNow();
--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -79,7 +79,7 @@
   settled.mHolder = mInstance;
   settled.mState = LeadershipState::Settled;
   settled.mLeader = aPromotion.mReplaced;
-  aPromotion.mRowRevision = seen->mRow.mRevision;
+  aPromotion.mRowVersion = seen->mRow.Version();
   aPromotion.mEndsPauses = true;
   WriteLeadership(aGroup, aPromotion, settled, aNow);
   return true;
@@ -261,7 +261,8 @@
   row.mTable = kCoordinationTable;
   row.mKey = LeadershipKey(aGroup);
   row.mValue = Encode(aRow);
-  row.mRevision = aPromotion.mRowRevision;
+  row.mRevision = aPromotion.mRowVersion.mRevision;
+  row.mIncarnation = aPromotion.mRowVersion.mIncarnation;
   mStore.mWrite({ row }, [this, aGroup, aRow](const WriteResult& aResult) {
     const GroupPromotion& promotion = mPromotions[aGroup];
     // Otherwise the feed has delivered the row already, or a newer write is in progress.
@@ -283,7 +284,7 @@
   TrackStoreAvailability(promotion, aResult, aNow);
   const bool endsPauses = std::exchange(promotion.mEndsPauses, false);
   if (const auto* written = std::get_if<Written>(&aResult)) {
-    promotion.mRowRevision = written->mRevision;
+    promotion.mRowVersion = { written->mIncarnation, written->mRevision };
     promotion.mRowAt = aNow;
     if (endsPauses && aNow - promotion.mRowSentAt <= kCallWindow) {
       // No instance claims a promotion soon after the row has changed.
@@ -317,7 +318,7 @@
 {
   for (auto& [group, promotion] : mPromotions) {
     const SeenRow* seen = FindRow(LeadershipKey(group));
-    if (seen == nullptr || seen->mRow.mRevision <= promotion.mRowRevision) {
+    if (seen == nullptr || seen->mRow.Version() <= promotion.mRowVersion) {
       continue;
     }
     const auto row = LeadershipOf(group);
@@ -326,7 +327,7 @@
     if (promotion.mRowBeingWritten &&
         Encode(*promotion.mRowBeingWritten) == seen->mRow.mValue) {
       const LeadershipRow awaited = *promotion.mRowBeingWritten;
-      const Written written{ seen->mRow.mRevision, 0 };
+      const Written written{ seen->mRow.mRevision, 0, seen->mRow.mIncarnation };
       if (promotion.mPhase == Phase::Claiming) {
         OnClaimWritten(group, awaited.mState, awaited, written);
       } else {
@@ -334,7 +335,7 @@
       }
     } else if (isOwn) {
       // The row of an earlier write that was not answered.
-      promotion.mRowRevision = seen->mRow.mRevision;
+      promotion.mRowVersion = seen->mRow.Version();
     }
   }
 }
--- a/src/libs/proxy/rowstore.h
+++ b/src/libs/proxy/rowstore.h
@@ -2,6 +2,7 @@
 
 #include "core/timetypes.h"
 #include "proxy/storefailure.h"
+#include "proxy/storerevision.h"
 
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,11 @@
   std::string mValue;
   /** Increases with each change of the store; 0 for a row that does not exist. */
   std::uint64_t mRevision = 0;
+  /** Incarnation of the store in which the row was read. */
+  std::uint64_t mIncarnation = 0;
+
+  /** @return the revision with its incarnation */
+  [[nodiscard]] StoreRevision Version() const { return { mIncarnation, mRevision }; }
 };
 
 /** All rows of a table at one point in time. */
@@ -33,12 +39,17 @@
   /** Time since another instance has read the rows from the store; 0 if they were read
    * directly. */
   Duration mAge{};
+  std::uint64_t mIncarnation = 0;
+
+  /** @return the newest revision with its incarnation */
+  [[nodiscard]] StoreRevision Version() const { return { mIncarnation, mRevision }; }
 };
 
 /** A write that takes effect only if the row still has the expected revision. */
 struct ConditionalWrite
 {
-  /** New row; its mRevision is the revision that the stored row must have. */
+  /** New row; its mRevision is the revision that the stored row must have, and its
+   * mIncarnation the one in which that revision was read. */
   StoredRow mRow;
 };
 
@@ -48,9 +59,11 @@
   /** New revision of the row. */
   std::uint64_t mRevision = 0;
   std::uint64_t mStoreTimeMs = 0;
+  std::uint64_t mIncarnation = 0;
 };
 
-/** Result of a conditional write that had no effect because the row had changed. */
+/** Result of a conditional write that had no effect because the row had changed, or
+ * because the expected revision is of another incarnation of the store. */
 struct RowConflict
 {};
 
--- a/src/libs/proxy/tables/fallbackreader.h
+++ b/src/libs/proxy/tables/fallbackreader.h
@@ -21,6 +21,10 @@
   std::function<std::vector<std::string>()> mSubstitutes;
   /** @return whether the last call of this instance to the store has failed */
   std::function<bool()> mIsStoreLost;
+  /** @return newest known incarnation of the store. May be empty. */
+  std::function<std::uint64_t()> mIncarnation;
+  /** Called when a substitute knows a newer incarnation of the store. May be empty. */
+  std::function<void(std::uint64_t aIncarnation)> mOnIncarnation;
   std::function<TimePoint()> mNow;
 };
 
--- a/src/libs/proxy/tables/relaymessages.h
+++ b/src/libs/proxy/tables/relaymessages.h
@@ -21,6 +21,10 @@
   Duration mMaxWait{};
   /** The reader has to read the whole table from the store for this request. */
   bool mNeedsRead = false;
+  /** Newest incarnation of the store that the requester knows; 0 if it knows none. */
+  std::uint64_t mIncarnation = 0;
+  /** Incarnation of the store that mSinceRevision refers to; 0 if it is unknown. */
+  std::uint64_t mSinceIncarnation = 0;
 };
 
 /** Answer of a reader to a RelayRequest. */
@@ -40,6 +44,11 @@
   Duration mAge{};
   /** How long the reader held the request. */
   Duration mHoldTime{};
+  /** Incarnation of the store that the reader's copy was read from. */
+  std::uint64_t mIncarnation = 0;
+
+  /** @return the revision of the reader's copy with its incarnation */
+  [[nodiscard]] StoreRevision Version() const { return { mIncarnation, mRevision }; }
 };
 
 /** Sends a request to a reader; the result is empty if the reader did not answer. */
--- a/src/libs/proxy/tables/snapshotreader.cpp
+++ b/src/libs/proxy/tables/snapshotreader.cpp
@@ -40,21 +40,27 @@
   }
   const std::string reader = aReaders.front();
   aReaders.erase(aReaders.begin());
-  const RelayRequest request{ mTable, mCopy.Revision(), {} };
+  RelayRequest request{ mTable, mCopy.Revision(), {} };
+  request.mIncarnation = mHooks.mIncarnation ? mHooks.mIncarnation() : 0;
+  request.mSinceIncarnation = mCopy.Incarnation();
   mHooks.mQueryReader(
     reader,
     request,
     kQueryTimeout,
     aNow,
     [this, aReaders, aNow, aHook](const std::optional<RelayAnswer>& aAnswer) {
-      const bool isUsable = aAnswer && !aAnswer->mIsRefused &&
-                            aAnswer->mRevision >= mCopy.Revision() &&
-                            aAnswer->mAge < kMaxAnswerAge;
+      const std::uint64_t incarnation = mHooks.mIncarnation ? mHooks.mIncarnation() : 0;
+      const bool isUsable =
+        aAnswer && !aAnswer->mIsRefused && aAnswer->mIncarnation >= incarnation &&
+        aAnswer->Version() >= mCopy.Version() && aAnswer->mAge < kMaxAnswerAge;
       if (!isUsable) {
         QueryReader(aReaders, aNow + kQueryTimeout, aHook);
         return;
       }
       mReadAsOf.reset();
+      if (aAnswer->mIncarnation > incarnation && mHooks.mOnIncarnation) {
+        mHooks.mOnIncarnation(aAnswer->mIncarnation);
+      }
       mCopy.ApplyAnswer(*aAnswer);
       aHook(Snapshot(aAnswer->mAge));
     });
@@ -77,6 +83,10 @@
 void
 SnapshotReader::UpdateCopy(const TableSnapshot& aSnapshot)
 {
+  if (aSnapshot.mIncarnation != mCopy.Incarnation()) {
+    mCopy.Replace(aSnapshot.mRows, aSnapshot.Version());
+    return;
+  }
   // A replaced copy has no history, and would be relayed with all rows after each read.
   std::vector<ChangedRow> changes;
   std::set<std::string_view> keys;
@@ -98,7 +108,7 @@
       return aChange.mRow.mRevision <= mCopy.Revision();
     });
   if (mCopy.Revision() == 0 || isOlderThanCopy) {
-    mCopy.Replace(aSnapshot.mRows, aSnapshot.mRevision);
+    mCopy.Replace(aSnapshot.mRows, aSnapshot.Version());
   } else {
     mCopy.Apply(changes, aSnapshot.mRevision);
   }
@@ -109,6 +119,7 @@
 {
   TableSnapshot snapshot;
   snapshot.mRevision = mCopy.Revision();
+  snapshot.mIncarnation = mCopy.Incarnation();
   snapshot.mAge = aAge;
   for (const auto& [key, row] : mCopy.Rows()) {
     snapshot.mRows.push_back(row);
--- a/src/libs/proxy/tables/snapshotreader.h
+++ b/src/libs/proxy/tables/snapshotreader.h
@@ -20,6 +20,10 @@
   /** @return the readers to query, the preferred one first; empty if this instance reads
    * the store itself */
   std::function<std::vector<std::string>()> mReaders;
+  /** @return newest known incarnation of the store. May be empty. */
+  std::function<std::uint64_t()> mIncarnation;
+  /** Called when a reader knows a newer incarnation of the store. May be empty. */
+  std::function<void(std::uint64_t aIncarnation)> mOnIncarnation;
 };
 
 /** Reads a whole table on request, from a reader of the zone if there is one. Used for
--- a/src/libs/proxy/tables/tablechanges.h
+++ b/src/libs/proxy/tables/tablechanges.h
@@ -23,6 +23,7 @@
   std::uint64_t mRevision = 0;
   /** Reading of the store's steady clock, in milliseconds. */
   std::uint64_t mStoreTimeMs = 0;
+  std::uint64_t mIncarnation = 0;
 };
 
 /** The store no longer has the requested changes. */
--- a/src/libs/proxy/tables/tablecopy.cpp
+++ b/src/libs/proxy/tables/tablecopy.cpp
@@ -14,18 +14,19 @@
 } // namespace
 
 bool
-TableCopy::Replace(std::span<const StoredRow> aRows, std::uint64_t aRevision)
+TableCopy::Replace(std::span<const StoredRow> aRows, StoreRevision aVersion)
 {
-  if (aRevision < mRevision) {
+  if (aVersion < Version()) {
     return false;
   }
   mRows.clear();
   for (const StoredRow& row : aRows) {
     mRows.emplace(row.mKey, row);
   }
-  mRevision = aRevision;
+  mRevision = aVersion.mRevision;
+  mIncarnation = aVersion.mIncarnation;
   mRemoved.clear();
-  mRemovalsSince = aRevision;
+  mRemovalsSince = aVersion.mRevision;
   return true;
 }
 
@@ -56,6 +57,9 @@
 bool
 TableCopy::ApplyAnswer(const RelayAnswer& aAnswer)
 {
+  if (!aAnswer.mIsFull && aAnswer.mIncarnation != mIncarnation) {
+    return false;
+  }
   if (!aAnswer.mIsFull) {
     return Apply(aAnswer.mRows, aAnswer.mRevision);
   }
@@ -64,28 +68,32 @@
   for (const ChangedRow& change : aAnswer.mRows) {
     rows.push_back(change.mRow);
   }
-  return Replace(rows, aAnswer.mRevision);
+  return Replace(rows, aAnswer.Version());
 }
 
 RelayAnswer
-TableCopy::ChangesAfter(std::uint64_t aRevision) const
+TableCopy::ChangesAfter(StoreRevision aVersion) const
 {
+  const std::uint64_t revision = aVersion.mRevision;
   RelayAnswer answer;
   answer.mRevision = mRevision;
-  answer.mIsFull = aRevision == 0 || aRevision < mRemovalsSince;
+  answer.mIncarnation = mIncarnation;
+  answer.mIsFull =
+    aVersion.mIncarnation != mIncarnation || revision == 0 || revision < mRemovalsSince;
   for (const auto& [key, row] : mRows) {
-    if (answer.mIsFull || row.mRevision > aRevision) {
+    if (answer.mIsFull || row.mRevision > revision) {
       answer.mRows.push_back({ row, false });
     }
   }
   if (answer.mIsFull) {
     return answer;
   }
-  for (const auto& [revision, key] : mRemoved) {
-    if (revision > aRevision && !mRows.contains(key)) {
+  for (const auto& [removedAt, key] : mRemoved) {
+    if (removedAt > revision && !mRows.contains(key)) {
       StoredRow row;
       row.mKey = key;
-      row.mRevision = revision;
+      row.mRevision = removedAt;
+      row.mIncarnation = mIncarnation;
       answer.mRows.push_back({ std::move(row), true });
     }
   }
--- a/src/libs/proxy/tables/tablefollower.cpp
+++ b/src/libs/proxy/tables/tablefollower.cpp
@@ -60,6 +60,10 @@
 void
 TableFollower::OnTimer(TimePoint aNow)
 {
+  if (aNow >= mIncarnationCheckAt) {
+    mIncarnationCheckAt = TimePoint::max();
+    LeaveIncarnation(aNow);
+  }
   if (aNow >= mProbeAt) {
     mProbeAt = TimePoint::max();
     Probe(aNow);
@@ -71,6 +75,31 @@
   Continue(aNow);
 }
 
+void
+TableFollower::OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow)
+{
+  if (aIncarnation > mIncarnation) {
+    mIncarnation = aIncarnation;
+    // The answer that has shown the incarnation may be that of the call in progress.
+    mIncarnationCheckAt = aNow;
+  }
+}
+
+void
+TableFollower::LeaveIncarnation(TimePoint aNow)
+{
+  if (!mIsActive || mCopy.Incarnation() == mIncarnation) {
+    return;
+  }
+  mHasHistory = false;
+  if (mRetryAt != TimePoint::max()) {
+    mRetryAt = aNow;
+  } else if (mIsWaiting) {
+    mCall++;
+    Continue(aNow);
+  }
+}
+
 void
 TableFollower::OnStoreAnswered(TimePoint aNow)
 {
@@ -103,6 +132,7 @@
 TableFollower::Continue(TimePoint aNow)
 {
   mIsBusy = mIsActive;
+  mIsWaiting = false;
   if (!mIsActive) {
     return;
   }
@@ -143,19 +173,30 @@
   // answered without waiting for a change.
   const Duration wait =
     mHasHistory && !mIsReadFromStore && mIsInContact ? kRelayedChangeWait : 0ms;
-  mHooks.mQueryReader(aReader,
-                      { mTable, mCopy.Revision(), wait },
-                      wait + kRelayReplyMargin,
-                      aNow,
-                      [this, aReader, aNow](const std::optional<RelayAnswer>& aAnswer) {
-                        OnRelayed(aReader, aAnswer, aNow);
-                      });
+  mIsWaiting = wait > Duration();
+  RelayRequest request{ mTable, mCopy.Revision(), wait };
+  request.mIncarnation = mIncarnation;
+  request.mSinceIncarnation = mCopy.Incarnation();
+  mHooks.mQueryReader(
+    aReader,
+    request,
+    wait + kRelayReplyMargin,
+    aNow,
+    [this, aReader, aNow, call = ++mCall](const std::optional<RelayAnswer>& aAnswer) {
+      if (call == mCall) {
+        OnRelayed(aReader, aAnswer, aNow);
+      }
+    });
 }
 
 void
 TableFollower::Read(TimePoint aNow)
 {
-  mHooks.mRead(aNow, [this, aNow](const ReadResult& aResult) { OnRead(aResult, aNow); });
+  mHooks.mRead(aNow, [this, aNow, call = ++mCall](const ReadResult& aResult) {
+    if (call == mCall) {
+      OnRead(aResult, aNow);
+    }
+  });
 }
 
 void
@@ -163,9 +204,13 @@
 {
   const Duration wait =
     mHooks.mReaders().mIsReader ? std::min(mWait, kReaderFeedWait) : mWait;
-  mHooks.mFeed(mCopy.Revision(), wait, aNow, [this, aNow](const FeedResult& aResult) {
-    OnFeed(aResult, aNow);
-  });
+  mIsWaiting = true;
+  const auto onResult = [this, aNow, call = ++mCall](const FeedResult& aResult) {
+    if (call == mCall) {
+      OnFeed(aResult, aNow);
+    }
+  };
+  mHooks.mFeed(mCopy.Revision(), wait, aNow, onResult);
 }
 
 void
@@ -200,7 +245,7 @@
   mBackoff = {};
   mIsReadFromStore = true;
   mHasHistory = true;
-  if (mCopy.Replace(aSnapshot.mRows, aSnapshot.mRevision)) {
+  if (mCopy.Replace(aSnapshot.mRows, aSnapshot.Version())) {
     mHasReportedOlderSnapshot = false;
     mHooks.mOnRowsChanged(mCopy.Rows());
   } else {
@@ -255,7 +300,14 @@
     return;
   }
   mHasReportedHistoryLoss = false;
+  mHistoryBackoff = {};
   const TableChanges& changes = std::get<TableChanges>(aResult);
+  if (changes.mIncarnation != mCopy.Incarnation()) {
+    // The store has given out the revision of the copy again.
+    mHasHistory = false;
+    Continue(mHooks.mNow());
+    return;
+  }
   if (mCopy.Apply(changes.mRows, changes.mRevision)) {
     mHooks.mOnRowsChanged(mCopy.Rows());
   }
@@ -274,9 +326,11 @@
   // which it held the request.
   const TimePoint asOf =
     aAnswer ? aSentAt + aAnswer->mHoldTime - aAnswer->mAge : TimePoint();
-  const bool isUsable = aAnswer && !aAnswer->mIsRefused &&
-                        aAnswer->mRevision >= mCopy.Revision() &&
-                        now - asOf < MaxRelayedAge();
+  const bool isUsable =
+    aAnswer && !aAnswer->mIsRefused && aAnswer->mIncarnation >= mIncarnation &&
+    aAnswer->Version() >= mCopy.Version() &&
+    (aAnswer->mIsFull || aAnswer->mIncarnation == mCopy.Incarnation()) &&
+    now - asOf < MaxRelayedAge();
   if (!isUsable) {
     const bool isRefused = aAnswer && aAnswer->mIsRefused;
     mExcludedReaders[aReader] =
@@ -285,6 +339,9 @@
     Continue(now);
     return;
   }
+  if (aAnswer->mIncarnation > mIncarnation && mHooks.mOnIncarnation) {
+    mHooks.mOnIncarnation(aAnswer->mIncarnation);
+  }
   RestoreContact();
   const std::vector<std::string>& readers = mHooks.mReaders().mReaders;
   const bool isReader =
@@ -305,14 +362,20 @@
 TableFollower::OnHistoryLost()
 {
   Count("store_history_lost");
-  if (!mHasReportedHistoryLoss) {
+  const bool isRepeated = mHasReportedHistoryLoss;
+  if (!isRepeated) {
     mHasReportedHistoryLoss = true;
     Log(LogLevel::Info,
         "table_history_lost",
         { { "table", mTable }, { "revision", std::to_string(mCopy.Revision()) } });
   }
   mHasHistory = false;
-  OnSuccess(mAsOf);
+  if (!isRepeated) {
+    OnSuccess(mAsOf);
+    return;
+  }
+  mHistoryBackoff = std::clamp(mHistoryBackoff * 2, kMinBackoff, kMaxBackoff);
+  mRetryAt = mHooks.mNow() + mHistoryBackoff;
 }
 
 void
@@ -389,8 +452,8 @@
 std::optional<TimePoint>
 TableFollower::ReadAsOf() const
 {
-  const bool isRead =
-    mIsActive && mIsReadFromStore && mIsInContact && !mIsStoreLost && mHasHistory;
+  const bool isRead = mCopy.Incarnation() == mIncarnation && mIsActive &&
+                      mIsReadFromStore && mIsInContact && !mIsStoreLost && mHasHistory;
   return isRead ? std::optional(mAsOf) : std::nullopt;
 }
 
--- a/src/libs/proxy/tables/tablefollower.h
+++ b/src/libs/proxy/tables/tablefollower.h
@@ -43,6 +43,8 @@
    * nothing if it is unknown */
   std::function<std::optional<TimePoint>(std::uint64_t aStoreTimeMs, TimePoint aSentAt)>
     mEarliestLocalTime;
+  /** Called when a reader knows a newer incarnation of the store. May be empty. */
+  std::function<void(std::uint64_t aIncarnation)> mOnIncarnation;
   /** Called when the source of the rows is lost (false) or answers again (true). */
   std::function<void(bool)> mOnContactChanged;
   std::function<TimePoint()> mNow;
@@ -69,8 +71,9 @@
  * answer, lags behind or has lost the store is excluded for a while. If no reader is
  * left, the store itself is read. While the store doesn't answer either, which may
  * concern this instance only, other instances that read it are queried as substitutes,
- * and the store is probed. The revision of the copy never decreases, whichever source
- * answers.
+ * and the store is probed. The revision of the copy never decreases within an incarnation
+ * of the store, whichever source answers. After a return of the store to an older state,
+ * the table is read again, and sources that don't know of the return are not used.
  */
 class TableFollower
 {
@@ -85,9 +88,15 @@
   /** Starts to follow the table, or stops after the call in progress. */
   void SetActive(bool aIsActive, TimePoint aNow);
   void OnTimer(TimePoint aNow);
+  /** Reads the table again unless the copy is of this incarnation of the store already.
+   */
+  void OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow);
   /** Probes the store soon, after another call has shown that it answers again. */
   void OnStoreAnswered(TimePoint aNow);
-  [[nodiscard]] TimePoint NextTimer() const { return std::min(mRetryAt, mProbeAt); }
+  [[nodiscard]] TimePoint NextTimer() const
+  {
+    return std::min({ mRetryAt, mProbeAt, mIncarnationCheckAt });
+  }
 
   [[nodiscard]] const std::string& Table() const { return mTable; }
   /** @return whether the last call to the store has failed */
@@ -103,6 +112,8 @@
 
 private:
   void Continue(TimePoint aNow);
+  /** Reads the table again if the copy is of an earlier incarnation of the store. */
+  void LeaveIncarnation(TimePoint aNow);
   void Read(TimePoint aNow);
   void Feed(TimePoint aNow);
   /** Reads the store while substitutes are queried. */
@@ -142,8 +153,16 @@
   FollowerHooks mHooks;
   TableCopy mCopy;
   bool mIsActive = false;
+  /** Newest known incarnation of the store. */
+  std::uint64_t mIncarnation = 0;
+  /** When a call that waits for changes of an earlier incarnation is abandoned. */
+  TimePoint mIncarnationCheckAt = TimePoint::max();
   /** A call or a retry is pending. */
   bool mIsBusy = false;
+  /** Number of the last call; identifies results of abandoned ones. */
+  std::uint64_t mCall = 0;
+  /** The call in progress waits for changes. */
+  bool mIsWaiting = false;
   /** The next call to the store is a feed instead of a read of the whole table. */
   bool mHasHistory = false;
   /** The source of the rows has answered the last call. */
@@ -154,6 +173,9 @@
   /** The last call to the store has failed. */
   bool mIsStoreLost = false;
   FailedStoreCall mLastFailure;
+  /** Delay of the next read after the history was lost repeatedly; zero after changes
+   * have arrived. */
+  Duration mHistoryBackoff{};
   /** The loss of the history was logged, and no changes have arrived since. */
   bool mHasReportedHistoryLoss = false;
   /** An older snapshot was logged, and no newer one has arrived since. */
--- a/src/libs/proxy/tables/tablerelay.cpp
+++ b/src/libs/proxy/tables/tablerelay.cpp
@@ -80,6 +80,7 @@
     answer.mIsFull = true;
     answer.mIsRead = true;
     answer.mRevision = snapshot->mRevision;
+    answer.mIncarnation = snapshot->mIncarnation;
     for (const StoredRow& row : snapshot->mRows) {
       answer.mRows.push_back({ row, false });
     }
@@ -97,11 +98,23 @@
     return true;
   }
   const TableCopy& copy = table->second.mCopy();
+  const RelayRequest& request = aWaiting.mRequest;
+  if (request.mIncarnation > copy.Incarnation()) {
+    // The copy is of a state that the store no longer has.
+    if (mHooks.mOnIncarnation) {
+      mHooks.mOnIncarnation(request.mIncarnation);
+    }
+    Refuse(aKey);
+    return true;
+  }
   const Duration heldTime = aNow - aWaiting.mSince;
-  const bool isRequesterBehind = copy.Revision() > aWaiting.mRequest.mSinceRevision;
+  const StoreRevision since{ request.mSinceIncarnation == 0 ? copy.Incarnation()
+                                                            : request.mSinceIncarnation,
+                             request.mSinceRevision };
+  const bool isRequesterBehind = copy.Version() > since;
   RelayAnswer answer;
   if (isRequesterBehind) {
-    answer = copy.ChangesAfter(aWaiting.mRequest.mSinceRevision);
+    answer = copy.ChangesAfter(since);
   }
   // The store's revision also increases with changes of other tables.
   const bool hasChanges = answer.mIsFull || !answer.mRows.empty();
@@ -114,6 +127,7 @@
     return true;
   }
   answer.mRevision = copy.Revision();
+  answer.mIncarnation = copy.Incarnation();
   answer.mAge = aNow - *asOf;
   answer.mHoldTime = heldTime;
   mHooks.mAnswer(aKey, answer);
--- a/src/libs/proxy/tables/tablerelay.h
+++ b/src/libs/proxy/tables/tablerelay.h
@@ -38,6 +38,9 @@
   std::function<void(RelayKey, const RelayAnswer&)> mAnswer;
   /** @return size in bytes of the answers that wait to be sent */
   std::function<std::size_t()> mQueuedBytes;
+  /** Called when a requester knows a newer incarnation of the store than a copy. May be
+   * empty. */
+  std::function<void(std::uint64_t aIncarnation)> mOnIncarnation;
 };
 
 /**
--- a/tests/auto/proxy/ratesimulation.h
+++ b/tests/auto/proxy/ratesimulation.h
@@ -364,7 +364,7 @@
       RelayAnswer answer;
       answer.mIsRefused = !reader.ReadAsOf();
       if (!answer.mIsRefused) {
-        answer = reader.Copy().ChangesAfter(aRequest.mSinceRevision);
+        answer = reader.Copy().ChangesAfter({ 0, aRequest.mSinceRevision });
         answer.mRevision = reader.Copy().Revision();
         answer.mAge = mNow - *reader.ReadAsOf();
       }
--- a/tests/auto/proxy/tst_instanceintervals.cpp
+++ b/tests/auto/proxy/tst_instanceintervals.cpp
@@ -34,7 +34,7 @@
         Duration,
         TimePoint,
         const std::function<void(const std::optional<RelayAnswer>&)>& aHook) {
-      RelayAnswer answer = readerCopy.ChangesAfter(aRequest.mSinceRevision);
+      RelayAnswer answer = readerCopy.ChangesAfter({ 0, aRequest.mSinceRevision });
       answer.mAge = now - readerReadAt;
       received += answer.mRows.size();
       aHook(answer);
@@ -76,7 +76,7 @@
         rows.push_back(row);
       }
       if (readerCopy.Revision() == 0) {
-        readerCopy.Replace(rows, table.mRevision);
+        readerCopy.Replace(rows, { 0, table.mRevision });
       } else {
         std::vector<ChangedRow> changes;
         for (const StoredRow& row : rows) {
--- a/tests/auto/proxy/tst_tables.cpp
+++ b/tests/auto/proxy/tst_tables.cpp
@@ -2,6 +2,7 @@
 // copies never go back to an older revision, and which source is used when a reader dies,
 // freezes, lags behind or loses the store.
 
+#include "proxy/relaysimulation.h"
 #include "proxy/tables/fallbackreader.h"
 #include "proxy/tables/readerchoice.h"
 #include "proxy/tables/snapshotreader.h"
@@ -22,288 +23,6 @@
 
 namespace {
 
-StoredRow
-Row(const std::string& aKey, std::uint64_t aRevision)
-{
-  StoredRow row;
-  row.mKey = aKey;
-  row.mValue = aKey + std::to_string(aRevision);
-  row.mRevision = aRevision;
-  return row;
-}
-
-/** Simulates a store with one table, two readers and a follower that queries them, on
- * simulated time. */
-class RelaySimulation
-{
-public:
-  struct Node
-  {
-    std::unique_ptr<TableFollower> mFollower;
-    std::unique_ptr<TableRelay> mRelay;
-    bool mReachesStore = true;
-    bool mIsFrozen = false;
-    bool mIsDead = false;
-    std::size_t mStoreCalls = 0;
-    std::vector<bool> mContactChanges;
-    /** When each revision was received. */
-    std::map<std::uint64_t, TimePoint> mReceivedAt;
-    TimePoint mAsOf;
-  };
-
-  RelaySimulation()
-  {
-    mRows["config"] = Row("config", 1);
-    for (const char* name : { "reader-1", "reader-2", "follower" }) {
-      AddNode(name);
-    }
-    mNodes["reader-1"].mChoice = { true, true, {}, {} };
-    mNodes["reader-2"].mChoice = { true, true, {}, {} };
-    mNodes["follower"].mChoice = { true, false, { "reader-1", "reader-2" }, {} };
-    for (auto& [name, node] : mNodes) {
-      node.mNode.mFollower->SetActive(true, mNow);
-    }
-  }
-
-  void Run(Duration aTime)
-  {
-    const TimePoint end = mNow + aTime;
-    while (mNow < end) {
-      mNow += 5ms;
-      while (!mScheduledTasks.empty() && mScheduledTasks.begin()->first <= mNow) {
-        const auto task = std::move(mScheduledTasks.begin()->second);
-        mScheduledTasks.erase(mScheduledTasks.begin());
-        task();
-      }
-      for (auto& [name, node] : mNodes) {
-        if (!node.mNode.mIsFrozen && !node.mNode.mIsDead) {
-          node.mNode.mFollower->OnTimer(mNow);
-          node.mNode.mRelay->OnTimer(mNow);
-        }
-      }
-    }
-  }
-
-  void Write(const std::string& aKey)
-  {
-    mRows[aKey] = Row(aKey, ++mRevision);
-    WakeFeeds();
-  }
-
-  void Remove(const std::string& aKey)
-  {
-    mRows.erase(aKey);
-    mRemoved[aKey] = ++mRevision;
-    WakeFeeds();
-  }
-
-  Node& NodeOf(const std::string& aName) { return mNodes[aName].mNode; }
-
-  /** @return how long after its write the instance received a revision */
-  Duration PropagationDelay(const std::string& aName,
-                            std::uint64_t aRevision,
-                            TimePoint aWrittenAt)
-  {
-    for (const auto& [revision, at] : NodeOf(aName).mReceivedAt) {
-      if (revision >= aRevision) {
-        return at - aWrittenAt;
-      }
-    }
-    return Duration::max();
-  }
-
-  TimePoint mNow{ std::chrono::hours(1) };
-  std::uint64_t mRevision = 1;
-  std::size_t mReaderQueries = 0;
-  ReaderChoice& ReaderChoiceOf(const std::string& aName) { return mNodes[aName].mChoice; }
-
-private:
-  struct Entry
-  {
-    Node mNode;
-    ReaderChoice mChoice;
-  };
-
-  struct Feed
-  {
-    std::string mName;
-    std::uint64_t mAfter = 0;
-    std::function<void(const FeedResult&)> mHook;
-  };
-
-  void Schedule(Duration aDelay, std::function<void()> aTask)
-  {
-    mScheduledTasks.emplace(mNow + aDelay, std::move(aTask));
-  }
-
-  /** Delivers an answer to an instance after a delay: once it isn't frozen, and not at
-   * all if it is dead. */
-  void Deliver(const std::string& aName, Duration aDelay, std::function<void()> aTask)
-  {
-    Schedule(aDelay, [this, aName, task = std::move(aTask)] {
-      if (NodeOf(aName).mIsFrozen) {
-        Deliver(aName, 50ms, task);
-      } else if (!NodeOf(aName).mIsDead) {
-        task();
-      }
-    });
-  }
-
-  [[nodiscard]] std::uint64_t StoreTime() const
-  {
-    return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(mNow.time_since_epoch())
-        .count());
-  }
-
-  void WakeFeeds()
-  {
-    for (auto& [key, feed] : std::exchange(mFeeds, {})) {
-      AnswerFeed(feed);
-    }
-  }
-
-  void AnswerFeed(const Feed& aFeed)
-  {
-    if (!NodeOf(aFeed.mName).mReachesStore) {
-      return;
-    }
-    TableChanges changes;
-    changes.mRevision = mRevision;
-    changes.mStoreTimeMs = StoreTime();
-    for (const auto& [key, row] : mRows) {
-      if (row.mRevision > aFeed.mAfter) {
-        changes.mRows.push_back({ row, false });
-      }
-    }
-    for (const auto& [key, revision] : mRemoved) {
-      if (revision > aFeed.mAfter && !mRows.contains(key)) {
-        changes.mRows.push_back({ Row(key, revision), true });
-      }
-    }
-    Deliver(aFeed.mName, 4ms, [hook = aFeed.mHook, changes] { hook(changes); });
-  }
-
-  FollowerHooks Hooks(const std::string& aName)
-  {
-    FollowerHooks hooks;
-    hooks.mRead = [this, aName](TimePoint, std::function<void(const ReadResult&)> aHook) {
-      NodeOf(aName).mStoreCalls++;
-      if (!NodeOf(aName).mReachesStore) {
-        Deliver(aName, 900ms, [aHook] { aHook(StoreFailure::NoAnswer); });
-        return;
-      }
-      TableSnapshot snapshot;
-      snapshot.mRevision = mRevision;
-      snapshot.mStoreTimeMs = StoreTime();
-      for (const auto& [key, row] : mRows) {
-        snapshot.mRows.push_back(row);
-      }
-      Deliver(aName, 4ms, [aHook, snapshot] { aHook(snapshot); });
-    };
-    hooks.mFeed = [this, aName](std::uint64_t aAfter,
-                                Duration aWait,
-                                TimePoint,
-                                std::function<void(const FeedResult&)> aHook) {
-      NodeOf(aName).mStoreCalls++;
-      const std::uint64_t key = ++mNextFeed;
-      if (!NodeOf(aName).mReachesStore) {
-        Deliver(aName, aWait + 800ms, [aHook] { aHook(StoreFailure::NoAnswer); });
-        return;
-      }
-      const Feed feed{ aName, aAfter, aHook };
-      if (aAfter < mRevision) {
-        AnswerFeed(feed);
-        return;
-      }
-      mFeeds[key] = feed;
-      Schedule(aWait, [this, key] {
-        const auto found = mFeeds.find(key);
-        if (found != mFeeds.end()) {
-          AnswerFeed(found->second);
-          mFeeds.erase(key);
-        }
-      });
-      // The call fails if the network path was cut in the meantime.
-      Schedule(aWait + 800ms, [this, aName, aHook] {
-        if (!NodeOf(aName).mReachesStore) {
-          Deliver(aName, {}, [aHook] { aHook(StoreFailure::NoAnswer); });
-        }
-      });
-    };
-    hooks.mQueryReader =
-      [this, aName](const std::string& aReader,
-                    const RelayRequest& aRequest,
-                    Duration aTimeout,
-                    TimePoint,
-                    std::function<void(const std::optional<RelayAnswer>&)> aHook) {
-        mReaderQueries++;
-        const RelayKey key = ++mNextRequest;
-        mOpenRequests[key] = { aName, aHook };
-        Deliver(aReader, 2ms, [this, aReader, key, aRequest] {
-          NodeOf(aReader).mRelay->AddRequest(key, aRequest, mNow);
-        });
-        Schedule(aTimeout, [this, aName, key] { Answer(key, std::nullopt); });
-      };
-    hooks.mReaders = [this, aName]() -> const ReaderChoice& {
-      return mNodes[aName].mChoice;
-    };
-    hooks.mOnRowsChanged = [this, aName](const TableRows&) {
-      Node& node = NodeOf(aName);
-      node.mReceivedAt.try_emplace(node.mFollower->Copy().Revision(), mNow);
-      node.mRelay->OnTableChanged("op", mNow);
-    };
-    hooks.mOnRowsConfirmed = [this, aName](TimePoint aAsOf) {
-      NodeOf(aName).mAsOf = aAsOf;
-    };
-    hooks.mEarliestLocalTime = [](std::uint64_t aStoreTimeMs, TimePoint) {
-      return std::optional(TimePoint(std::chrono::milliseconds(aStoreTimeMs)));
-    };
-    hooks.mOnContactChanged = [this, aName](bool aIsInContact) {
-      NodeOf(aName).mContactChanges.push_back(aIsInContact);
-      NodeOf(aName).mRelay->OnTableChanged("op", mNow);
-    };
-    hooks.mNow = [this] { return mNow; };
-    return hooks;
-  }
-
-  void Answer(RelayKey aKey, const std::optional<RelayAnswer>& aAnswer)
-  {
-    const auto found = mOpenRequests.find(aKey);
-    if (found == mOpenRequests.end()) {
-      return;
-    }
-    const auto [name, hook] = found->second;
-    mOpenRequests.erase(found);
-    Deliver(name, 2ms, [hook = hook, aAnswer] { hook(aAnswer); });
-  }
-
-  void AddNode(const std::string& aName)
-  {
-    Node& node = mNodes[aName].mNode;
-    node.mFollower = std::make_unique<TableFollower>("op", 4500ms, Hooks(aName));
-    node.mRelay = std::make_unique<TableRelay>(TableRelayHooks{
-      [this](RelayKey aKey, const RelayAnswer& aAnswer) { Answer(aKey, aAnswer); },
-      [] { return std::size_t{ 0 }; } });
-    node.mRelay->AddTable(
-      "op",
-      { [this, aName]() -> const TableCopy& { return NodeOf(aName).mFollower->Copy(); },
-        [this, aName] { return NodeOf(aName).mFollower->ReadAsOf(); },
-        nullptr });
-  }
-
-  std::map<std::string, Entry> mNodes;
-  std::map<std::string, StoredRow> mRows;
-  std::map<std::string, std::uint64_t> mRemoved;
-  std::map<std::uint64_t, Feed> mFeeds;
-  std::uint64_t mNextFeed = 0;
-  std::map<RelayKey,
-           std::pair<std::string, std::function<void(const std::optional<RelayAnswer>&)>>>
-    mOpenRequests;
-  RelayKey mNextRequest = 0;
-  std::multimap<TimePoint, std::function<void()>> mScheduledTasks;
-};
-
 /** Maximum time until a configuration is in force where there are readers. */
 constexpr Duration kConfigurationBound = 5s;
 
@@ -581,7 +300,7 @@
 TEST_CASE("a relay reads the store for a request that needs it, or refuses")
 {
   TableCopy copy;
-  copy.Replace(std::vector{ Row("leader", 3) }, 3);
+  copy.Replace(std::vector{ Row("leader", 3) }, { 0, 3 });
   std::optional<TimePoint> readAsOf{ std::chrono::hours(1) };
   std::vector<std::function<void(const ReadResult&)>> reads;
   std::vector<RelayAnswer> answers;
@@ -617,24 +336,24 @@
 TEST_CASE("a copy returns the changes after a revision, including removals, or all rows")
 {
   TableCopy copy;
-  copy.Replace(std::vector{ Row("a", 3), Row("b", 4) }, 10);
-  REQUIRE(copy.ChangesAfter(0).mIsFull);
-  REQUIRE(copy.ChangesAfter(9).mIsFull);
-  REQUIRE(copy.ChangesAfter(10).mRows.empty());
+  copy.Replace(std::vector{ Row("a", 3), Row("b", 4) }, { 0, 10 });
+  REQUIRE(copy.ChangesAfter({ 0, 0 }).mIsFull);
+  REQUIRE(copy.ChangesAfter({ 0, 9 }).mIsFull);
+  REQUIRE(copy.ChangesAfter({ 0, 10 }).mRows.empty());
   const std::vector<ChangedRow> changes{ { Row("c", 11), false },
                                          { Row("a", 12), true } };
   REQUIRE(copy.Apply(changes, 12));
-  const RelayAnswer after = copy.ChangesAfter(10);
+  const RelayAnswer after = copy.ChangesAfter({ 0, 10 });
   REQUIRE_FALSE(after.mIsFull);
   REQUIRE(after.mRows.size() == 2);
   REQUIRE(after.mRows[1].mIsRemoved);
   TableCopy other;
-  other.Replace(std::vector{ Row("a", 3), Row("b", 4) }, 10);
+  other.Replace(std::vector{ Row("a", 3), Row("b", 4) }, { 0, 10 });
   REQUIRE(other.ApplyAnswer(after));
   REQUIRE(other.Rows().contains("c"));
   REQUIRE_FALSE(other.Rows().contains("a"));
   // An older snapshot or change is ignored.
-  REQUIRE_FALSE(other.Replace(std::vector{ Row("a", 3) }, 9));
+  REQUIRE_FALSE(other.Replace(std::vector{ Row("a", 3) }, { 0, 9 }));
   REQUIRE_FALSE(other.Apply(std::vector<ChangedRow>{ { Row("a", 3), false } }, 11));
   REQUIRE(other.Revision() == 12);
 }
@@ -648,7 +367,7 @@
   TableCopy copy;
   StoredRow row = Row("config", 2);
   row.mValue = std::string(500'000, 'x');
-  copy.Replace(std::vector{ row }, 2);
+  copy.Replace(std::vector{ row }, { 0, 2 });
   std::size_t queuedBytes = 0;
   std::size_t refused = 0;
   TableRelay relay({ [&](RelayKey, const RelayAnswer& aAnswer) {
