Stand-in of the store whose rows are written again late, and whose open calls aren't reset

Callers would see routes refused that were served, and routes that were withdrawn served again, if an instance took an older configuration for the newest while the operator hasn't yet written the newest again. The stand-in only returned with the operator's and the members' rows written again already, and always reset its connections.

Change: Store.return_to_copy can let the operator write again after a given time and the members within 2 s, and can hold open calls until the return. While the store is away, promotions are handled, and rows of the operator and the members are kept until the return. Scenarios rewritten_late(_twice, _readers), calls_held and calls_held_late change the configuration before the loss, and check every half second that no older one is in force and no served route refused.

--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -235,6 +235,7 @@
             await group.start()
         self.group = self.groups[self.group_names[0]]
         self.configure()
+        self.store.allow_copies_from_now()
         self.instances = [
             Instance(self.binary, self.directory, n, self.store.port, self.descriptors,
                      self.memory_mb, self.client_limits, self.tenants is not None,
@@ -277,8 +278,7 @@
         while True:
             await asyncio.sleep(1.2)
             for group in self.groups.values():
-                if self.store.mode != "away":
-                    group.publish()
+                group.publish()
 
     async def until(self, condition, limit_s, what):
         end = time.monotonic() + limit_s
--- a/tests/e2e/platform_store_return.py
+++ b/tests/e2e/platform_store_return.py
@@ -4,6 +4,8 @@
 usage: platform_store_return.py BINARY SCENARIO [--instances N] [--zones N] [--age S] [--reads N] [--writes N]
 Guards against instances that keep their copies of the store's tables after such a return: they
 handle requests as only an older configuration allows, and their calls exceed the store's rates.
+Also guards against instances that replace a configuration that was in force by the older one of
+the copy, until the operator has written the newest again.
 Prints what clients saw and the calls to the store.
 """
 
@@ -30,9 +32,14 @@
 class Scenario:
     """What happens around the change of the configuration."""
 
-    def __init__(self, returns=1, change_after_s=0.5, kills=0, age_s=8, instances=7, drops_history=False):
+    def __init__(self, returns=1, change_after_s=0.5, kills=0, age_s=8, instances=7, drops_history=False,
+                 rewrite_s=0, resets_calls=True, changes_before=False):
+        """With `changes_before`, the change is in force when the store is lost, and the copy is of
+        the configuration before it. `rewrite_s` and `resets_calls` are as in Store.return_to_copy."""
         self.returns, self.change_after_s, self.kills = returns, change_after_s, kills
         self.age_s, self.instances, self.drops_history = age_s, instances, drops_history
+        self.rewrite_s, self.resets_calls = rewrite_s, resets_calls
+        self.changes_before = changes_before
 
 
 SCENARIOS = {
@@ -46,6 +53,11 @@
     "restart": Scenario(kills=1),
     "restart_all": Scenario(kills=7),
     "readers": Scenario(instances=14),
+    "rewritten_late": Scenario(rewrite_s=0.7, changes_before=True),
+    "rewritten_late_twice": Scenario(rewrite_s=0.7, changes_before=True, returns=2, age_s=12),
+    "rewritten_late_readers": Scenario(rewrite_s=0.7, changes_before=True, instances=14, age_s=10),
+    "calls_held": Scenario(resets_calls=False, changes_before=True),
+    "calls_held_late": Scenario(resets_calls=False, rewrite_s=0.7, changes_before=True),
 }
 
 
@@ -56,6 +68,7 @@
         self.system = system
         self.runs = {}  # identifier -> group that ran the request
         self.count = 0
+        self.refusals = collections.Counter()  # (database, code) of routes that must be served
         for name, group in system.groups.items():
             group.on_statement = lambda caller, ident, has_run, name=name: self.runs.setdefault(ident, name)
 
@@ -80,8 +93,24 @@
                 older.append(database)
             if database == "moved" and self.runs.get(ident) == "g1":
                 older.append(database)
+            if database != "dropped" and code is not None:
+                self.refusals[database, code] += 1
         return older
 
+    async def ask_until(self, end):
+        """Asks all instances until `end`. Returns the number of requests, the number of those that
+        are handled as only the older configuration allows, and the instances that did so."""
+        cases, asked, behind = 0, 0, set()
+        while time.monotonic() < end:
+            answers = await asyncio.gather(*[self.ask(i) for i in self.system.instances])
+            asked += 3 * len(answers)
+            for instance, older in zip(self.system.instances, answers):
+                cases += len(older)
+                if older:
+                    behind.add(instance.name)
+            await asyncio.sleep(0.5 if len(answers) < 50 else 1)
+        return asked, cases, behind
+
 
 async def drop_history(store):
     while True:
@@ -98,6 +127,71 @@
     return [calls[second] for second in range(last)]
 
 
+def change_routes(system):
+    del system.databases["dropped"]
+    system.databases["added"] = "primary"
+    system.backends["moved"] = "g2"
+    system.configure()
+
+
+async def lose_store(system, scenario):
+    for number in range(scenario.returns):
+        if number > 0:
+            await asyncio.sleep(3)
+        lost = await system.store.return_to_copy(scenario.age_s, AWAY_S, scenario.rewrite_s, scenario.resets_calls)
+        print(f"the store is back without its last {lost} versions", flush=True)
+    for instance in system.instances[:scenario.kills]:
+        instance.send(signal.SIGKILL)
+        await instance.process.wait()
+        await instance.start()
+
+
+async def change_after_return(system, scenario, apply_s):
+    """Returns what Probes.ask_until does for a change that is acknowledged after the return."""
+    await lose_store(system, scenario)
+    await asyncio.sleep(scenario.change_after_s)
+    change_routes(system)
+    await asyncio.sleep(apply_s)
+    return await Probes(system).ask_until(time.monotonic() + CHECK_S), []
+
+
+async def change_before_return(system, scenario, apply_s):
+    """The same for a change that is in force when the store is lost. Also returns problems."""
+    change_routes(system)
+    await asyncio.sleep(apply_s)
+    probes, problems = Probes(system), []
+    losing = asyncio.create_task(lose_store(system, scenario))
+    span_s = AWAY_S * scenario.returns + 3 * (scenario.returns - 1) + scenario.rewrite_s + apply_s + CHECK_S
+    outcome = await probes.ask_until(time.monotonic() + span_s)
+    await losing
+    if probes.refusals:
+        problems.append(f"served routes were refused: {dict(probes.refusals)}")
+    # The next version is in force in time, too.
+    system.databases["next"] = "primary"
+    system.configure()
+
+    async def all_newest():
+        return set(await read_versions(system)) == {system.version}
+
+    await system.until(all_newest, apply_s, f"all instances have version {system.version}")
+    return outcome, problems
+
+
+async def read_version(instance):
+    """Returns the configuration version of an instance; None if it doesn't answer."""
+    try:
+        text = await asyncio.wait_for(instance.fetch_metrics(), 2)
+    except (OSError, asyncio.TimeoutError):
+        return None
+    value = text.partition("papayaspindle_configuration_version ")[2]
+    return int(value.split("\n")[0]) if value else None
+
+
+async def read_versions(system):
+    """Returns the configuration version of each instance."""
+    return await asyncio.gather(*[read_version(instance) for instance in system.instances])
+
+
 async def run(binary, scenario, zones):
     store = Store(scenario.reads, scenario.writes, ANSWER_S)
     many = scenario.instances > MANY_INSTANCES
@@ -111,32 +205,8 @@
         await asyncio.sleep(scenario.age_s + 2)
         begin, limited = time.monotonic(), store.rate_limited
         dropping = asyncio.create_task(drop_history(store)) if scenario.drops_history else None
-        for number in range(scenario.returns):
-            if number > 0:
-                await asyncio.sleep(3)
-            lost = await store.return_to_copy(scenario.age_s, AWAY_S)
-            print(f"the store is back without its last {lost} versions", flush=True)
-        for instance in system.instances[:scenario.kills]:
-            instance.send(signal.SIGKILL)
-            await instance.process.wait()
-            await instance.start()
-        await asyncio.sleep(scenario.change_after_s)
-        del system.databases["dropped"]
-        system.databases["added"] = "primary"
-        system.backends["moved"] = "g2"
-        system.configure()
-        acknowledged = time.monotonic()
-        await asyncio.sleep(apply_s)
-        probes = Probes(system)
-        cases, asked, behind = 0, 0, set()
-        while time.monotonic() < acknowledged + apply_s + CHECK_S:
-            answers = await asyncio.gather(*[probes.ask(i) for i in system.instances])
-            asked += 3 * len(answers)
-            for instance, older in zip(system.instances, answers):
-                cases += len(older)
-                if older:
-                    behind.add(instance.name)
-            await asyncio.sleep(0.5)
+        change = change_before_return if scenario.changes_before else change_after_return
+        (asked, cases, behind), problems = await change(system, scenario, apply_s)
         heartbeat.cancel()
         if dropping:
             dropping.cancel()
@@ -147,7 +217,6 @@
             f"allows, at {len(behind)} instances; calls to the store in each second from the loss on: "
             f"{calls}, {limited} over its rates", flush=True,
         )
-        problems = []
         if cases:
             problems.append(f"{len(behind)} instances are not on the acknowledged configuration")
         if limited:
--- a/tests/e2e/rowstore.py
+++ b/tests/e2e/rowstore.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import collections
+import itertools
 import json
 import time
 import urllib.parse
@@ -15,6 +16,10 @@
 FOREIGN_TABLES = ("op", "servers")
 # Calls above the rate that the store accepts in a burst, as part of a second.
 BURST_S = 0.25
+# Time after a return within which members that are in use have written their rows again.
+MEMBERS_REWRITE_S = 2
+# Longer than the time limits of all calls.
+UNANSWERED_S = 10
 
 
 class RateLimit:
@@ -46,9 +51,17 @@
         self.log = []  # the same with the time of the write; survives a lost history
         self.ver = 0
         self.era = 1
-        self.mode = "ok"  # ok, busy, lost, endless, away
+        self.mode = "ok"  # ok, busy, lost, endless
+        self.is_away = False
+        self.resets_calls = True  # whether calls that are open during an absence are reset
+        self.returned = asyncio.Event()
+        self.held_calls = itertools.count()
+        self.foreign = {}  # newest rows of the operator and the members, also while away
+        self.first_copy_at = 0
         self.groups = {}
         self.token = {}
+        self.promotions = {}  # (group, token) -> member
+        self.reused_tokens = []
         self.changed = asyncio.Event()
         self.port = None
         self.answer_s = answer_s
@@ -62,6 +75,11 @@
         self.port = server.sockets[0].getsockname()[1]
 
     def put(self, table, key, value):
+        """Writes a row, or removes it if the value is None."""
+        if table in FOREIGN_TABLES:
+            self.foreign[(table, key)] = value
+            if self.is_away:
+                return
         self.ver += 1
         if value is None:
             self.rows.pop((table, key), None)
@@ -78,16 +96,26 @@
     def forget_history(self):
         self.changes = []
 
-    async def return_to_copy(self, age_s, away_s):
+    def allow_copies_from_now(self):
+        """No copy is older than this moment."""
+        self.first_copy_at = time.monotonic()
+
+    async def return_to_copy(self, age_s, away_s, rewrite_s=0, resets_calls=True):
         """Is away for a moment and comes back as it was `age_s` before the end of that time.
-        Returns the number of lost versions."""
-        self.mode = "away"
-        for writer in list(self.writers):
-            writer.transport.abort()
+        Returns the number of lost versions. Without `rewrite_s`, the operator and the members
+        write their rows again before the first answer. Otherwise the operator writes them again
+        after that time and the members within MEMBERS_REWRITE_S. Without `resets_calls`, open
+        calls wait for the return: every second feed stays unanswered, the other calls are
+        handled in the new incarnation."""
+        if self.is_away:
+            return 0
+        self.is_away, self.resets_calls = True, resets_calls
+        if resets_calls:
+            for writer in list(self.writers):
+                writer.transport.abort()
         self._wake()
         await asyncio.sleep(away_s)
-        copied_at = time.monotonic() - age_s
-        written = {name: value for name, (value, _) in self.rows.items() if name[0] in FOREIGN_TABLES}
+        copied_at = max(time.monotonic() - age_s, self.first_copy_at)
         newest = self.ver
         self.log = [entry for entry in self.log if entry[0] <= copied_at]
         self.rows, self.ver = {}, 0
@@ -100,17 +128,28 @@
         lost = newest - self.ver
         self.changes = [change for change in self.changes if change[0] <= self.ver]
         self.era += 1
-        for name in [n for n in self.rows if n[0] in FOREIGN_TABLES and n not in written]:
-            self.put(*name, None)
-        for name, value in written.items():
-            self.put(*name, value)
-        self.mode = "ok"
+        self.is_away = False
+        if rewrite_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(rewrite_s, self._rewrite, self.era, ("op",))
+            loop.call_later(MEMBERS_REWRITE_S, self._rewrite, self.era, ("servers",))
+        else:
+            self._rewrite(self.era, FOREIGN_TABLES)
+        self.returned.set()
+        self.returned = asyncio.Event()
+        self._wake()
         return lost
 
-    async def _serve(self, reader, writer):
-        if self.mode == "away":
-            writer.transport.abort()
+    def _rewrite(self, era, tables):
+        """Writes the newest rows of other writers again, unless the store has returned again."""
+        if era != self.era or self.is_away:
             return
+        for name in [n for n in self.foreign | self.rows if n[0] in tables]:
+            value = self.foreign.get(name)
+            if value != self.rows.get(name, (None,))[0]:
+                self.put(*name, value)
+
+    async def _serve(self, reader, writer):
         self.writers.add(writer)
         try:
             while True:
@@ -131,7 +170,8 @@
                     await asyncio.sleep(self.answer_s)
                 era = self.era
                 status, answer = await self._answer(method, target, headers, body)
-                if status is None or self.mode == "away" or era != self.era:
+                is_reset = self.resets_calls and (self.is_away or era != self.era)
+                if status is None or (is_reset and not target.startswith("/promote")):
                     writer.transport.abort()
                     return
                 text = json.dumps(answer).encode()
@@ -149,12 +189,12 @@
     async def _answer(self, method, target, headers, body):
         url = urllib.parse.urlparse(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
-        if self.mode == "away":
-            return None, None
         if self.mode == "busy":
             return 503, {}
         if url.path == "/promote":
             return self._promote(headers, json.loads(body))
+        if self.is_away and not await self._outlasts_absence(url.path):
+            return None, None
         self.calls[int(time.monotonic()), method] += 1
         if not self.limits[method].allows():
             self.rate_limited += 1
@@ -171,6 +211,16 @@
             return 200, {"rows": rows, "hasMore": False, **self._now()}
         return await self._feed(query)
 
+    async def _outlasts_absence(self, path):
+        """Returns whether a call is handled after the absence."""
+        if self.resets_calls:
+            return False
+        if path == "/v1/rows-feed" and next(self.held_calls) % 2:
+            await asyncio.sleep(UNANSWERED_S)
+            return False
+        await self.returned.wait()
+        return True
+
     def _now(self):
         return {"ver": self.ver, "nowMs": int(time.monotonic() * 1000)}
 
@@ -193,7 +243,9 @@
         end = time.monotonic() + int(query["waitMs"]) / 1000
         era = self.era
         while True:
-            if self.mode == "away" or era != self.era:
+            if self.is_away and not await self._outlasts_absence("/v1/rows-feed"):
+                return None, None
+            if era != self.era and self.resets_calls:
                 return None, None
             oldest = self.changes[0][0] if self.changes else self.ver + 1
             if after > self.ver or after + 1 < oldest:
@@ -218,6 +270,8 @@
         member = group.members.get(body["id"])
         if token < self.token.get(group.name, 0) or member is None or not member.is_alive:
             return 409, {}
+        if self.promotions.setdefault((group.name, token), member) is not member:
+            self.reused_tokens.append(f"token {token} of {group.name} for two members")
         self.token[group.name] = token
         group.promote(member)
         return 200, {}
