Report writes of an earlier incarnation of the store as unknown

A claim of a promotion that was on its way when the store returned to an older state could be reported as written, since the row had the same value and a higher revision, or as a conflict, since it had a lower one, while a late attempt could still be carried out. It was also sent again if the returned row had the expected revision.

ConditionalWriter now learns the incarnation from the store's answers and the service. A write that expects a revision of an earlier one isn't sent, also if it waits for its connection; the refusal comes with the next timer, so no caller is called back from within its call. One that was sent isn't repeated: its row is read back in the newest incarnation, and the outcome is reported as NoAnswer, as an equal row doesn't prove that its condition held and a late attempt may still find its revision given out again.

--- a/src/libs/proxy/leadership/conditionalwriter.cpp
+++ b/src/libs/proxy/leadership/conditionalwriter.cpp
@@ -28,9 +28,34 @@
   PendingWrite& pending = mPending[key];
   pending.mWrite = aWrite;
   pending.mHook = std::move(aHook);
+  if (IsOutdated(pending)) {
+    // Refused by the next timer, so that no caller is called back from within its call.
+    pending.mNextCheckAt = mHooks.mNow();
+    return;
+  }
   Send(key);
 }
 
+void
+ConditionalWriter::OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow)
+{
+  if (aIncarnation <= mIncarnation) {
+    return;
+  }
+  mIncarnation = aIncarnation;
+  for (auto& [key, pending] : mPending) {
+    if (IsOutdated(pending)) {
+      pending.mNextCheckAt = std::min(pending.mNextCheckAt, aNow);
+    }
+  }
+}
+
+bool
+ConditionalWriter::IsOutdated(const PendingWrite& aPending) const
+{
+  return aPending.mWrite.mRow.mIncarnation < mIncarnation;
+}
+
 void
 ConditionalWriter::Send(WriteKey aKey)
 {
@@ -54,8 +79,13 @@
   PendingWrite& pending = found->second;
   pending.mUnanswered--;
   const bool isOnlyAttempt = pending.mAttempts == 1;
-  if (std::holds_alternative<Written>(aResult) ||
-      (isOnlyAttempt && !std::holds_alternative<StoreFailure>(aResult))) {
+  if (const auto* written = std::get_if<Written>(&aResult)) {
+    OnIncarnation(written->mIncarnation, mHooks.mNow());
+  }
+  if (IsOutdated(pending)) {
+    pending.mNextCheckAt = std::min(pending.mNextCheckAt, mHooks.mNow());
+  } else if (std::holds_alternative<Written>(aResult) ||
+             (isOnlyAttempt && !std::holds_alternative<StoreFailure>(aResult))) {
     Finish(aKey, aResult);
   } else if (std::holds_alternative<RowConflict>(aResult)) {
     // An earlier attempt may have caused the conflict.
@@ -69,8 +99,13 @@
 ConditionalWriter::Check(WriteKey aKey, TimePoint aNow)
 {
   PendingWrite& pending = mPending.at(aKey);
+  if (pending.mAttempts == 0) {
+    Finish(aKey, RowConflict{});
+    return;
+  }
   pending.mNextCheckAt = aNow + kAnswerTimeout;
   pending.mIsReading = true;
+  pending.mIsReadingBack = IsOutdated(pending);
   mHooks.mRead(aNow,
                [this, aKey](const ReadResult& aResult) { OnRowRead(aKey, aResult); });
 }
@@ -85,12 +120,20 @@
   PendingWrite& pending = found->second;
   pending.mIsReading = false;
   const auto* snapshot = std::get_if<TableSnapshot>(&aResult);
-  if (snapshot == nullptr) {
-    if (pending.mUnanswered == 0) {
+  if (snapshot != nullptr) {
+    OnIncarnation(snapshot->mIncarnation, mHooks.mNow());
+  }
+  const bool isOutdated = IsOutdated(pending);
+  if (snapshot == nullptr || snapshot->mIncarnation < mIncarnation) {
+    if (pending.mUnanswered == 0 && pending.mIsReadingBack == isOutdated) {
       Finish(aKey, StoreFailure::NoAnswer);
     }
     return;
   }
+  if (isOutdated) {
+    Finish(aKey, StoreFailure::NoAnswer);
+    return;
+  }
   const StoredRow& row = pending.mWrite.mRow;
   const auto stored =
     std::find_if(snapshot->mRows.begin(),
@@ -100,7 +143,8 @@
   if (revision != row.mRevision) {
     const bool isOwn = revision > row.mRevision && stored->mValue == row.mValue;
     Finish(aKey,
-           isOwn ? WriteResult(Written{ revision, 0 }) : WriteResult(RowConflict{}));
+           isOwn ? WriteResult(Written{ revision, 0, mIncarnation })
+                 : WriteResult(RowConflict{}));
   } else if (pending.mAttempts < kMaxAttempts) {
     Send(aKey);
   } else if (pending.mUnanswered == 0) {
