--- a/src/libs/proxy/member.h
+++ b/src/libs/proxy/member.h
@@ -9,6 +9,7 @@
 #include "proxy/connections/memberpool.h"
 #include "proxy/memberentry.h"
 #include "proxy/slownesswatch.h"
+#include "proxy/storerevision.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -26,9 +27,9 @@
   /** Whether another member answered at the entry's address; the member is unusable until
    * its entry changes. */
   bool mIsMisrouted = false;
-  /** Directory revision at which the member was first listed as primary; 0 for a replica.
-   */
-  std::uint64_t mPrimarySince = 0;
+  /** Directory revision at which the member was first listed as primary; nothing for a
+   * replica. */
+  std::optional<StoreRevision> mPrimarySince;
   /** Connections to the member. */
   MemberPool mPool;
   /** Number of statements that occupy or wait for a slot. */
--- a/src/libs/proxy/memberentry.h
+++ b/src/libs/proxy/memberentry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "proxy/storerevision.h"
+
 #include <cstdint>
 #include <string>
 
@@ -27,8 +29,15 @@
   MemberRole mRole = MemberRole::Replica;
   /** Start time of the member's process, in Unix milliseconds. */
   std::uint64_t mStartedAtMs = 0;
-  /** Revision of the directory row; comparable across all members. */
+  /** Number of the report since the start of the member's process; 0 if it is unknown. */
+  std::uint64_t mSequence = 0;
+  /** Revision of the directory row; comparable across all members of an incarnation. */
   std::uint64_t mRevision = 0;
+  /** Incarnation of the store in which the row was read. */
+  std::uint64_t mIncarnation = 0;
+
+  /** @return the revision with its incarnation */
+  [[nodiscard]] StoreRevision Version() const { return { mIncarnation, mRevision }; }
 
   bool operator==(const MemberEntry&) const = default;
 };
--- a/src/libs/proxy/proxycore_members.cpp
+++ b/src/libs/proxy/proxycore_members.cpp
@@ -32,14 +32,14 @@
           { "revision", std::to_string(entry.mRevision) } });
     }
     if (entry.mRole == MemberRole::Primary) {
-      if (member.mPrimarySince == 0 || isRestarted) {
-        member.mPrimarySince = entry.mRevision;
+      if (!member.mPrimarySince || isRestarted) {
+        member.mPrimarySince = entry.Version();
         member.mNotLeadingUntil = {};
       }
     } else {
-      member.mPrimarySince = 0;
+      member.mPrimarySince.reset();
     }
-    if (isNew || member.mEntry.mRevision != entry.mRevision) {
+    if (isNew || member.mEntry.Version() != entry.Version()) {
       member.mIsMisrouted = false;
     }
     if (isRestarted || isMoved) {
@@ -63,7 +63,7 @@
     if (member.mIsListed && !listed.contains(id)) {
       member.mIsListed = false;
       member.mDepartedAt = aNow;
-      member.mPrimarySince = 0;
+      member.mPrimarySince.reset();
       mHooks.mLog(LogLevel::Info,
                   "member_gone",
                   { { "member", id }, { "group", member.mEntry.mGroup } });
@@ -117,8 +117,8 @@
   const Member* claimant = nullptr;
   for (const std::string& id : aGroup.mMembers) {
     const Member& member = mMembers.find(id)->second;
-    if (member.mPrimarySince > 0 &&
-        (claimant == nullptr || member.mPrimarySince > claimant->mPrimarySince)) {
+    if (member.mPrimarySince &&
+        (claimant == nullptr || *member.mPrimarySince > *claimant->mPrimarySince)) {
       claimant = &member;
     }
   }
@@ -205,7 +205,7 @@
     for (const std::string& id : group->mMembers) {
       const Member& member = mMembers.find(id)->second;
       const bool isReplica =
-        decided && !decided->empty() ? *decided != id : member.mPrimarySince == 0;
+        decided && !decided->empty() ? *decided != id : !member.mPrimarySince;
       if (member.mIsListed && isReplica) {
         replicas.push_back(member.mEntry);
       }
@@ -271,8 +271,8 @@
   const Member* primary = nullptr;
   for (const std::string& id : aGroup.mMembers) {
     const Member& member = mMembers.find(id)->second;
-    if (member.mPrimarySince > 0 && IsUsable(member) && member.mNotLeadingUntil <= aNow &&
-        (primary == nullptr || member.mPrimarySince > primary->mPrimarySince)) {
+    if (member.mPrimarySince && IsUsable(member) && member.mNotLeadingUntil <= aNow &&
+        (primary == nullptr || *member.mPrimarySince > *primary->mPrimarySince)) {
       primary = &member;
     }
   }
--- a/src/libs/proxy/proxycore_replies.cpp
+++ b/src/libs/proxy/proxycore_replies.cpp
@@ -166,7 +166,7 @@
     aMember.mNotLeadingUntil = aNow + kNotLeadingPause;
     Group& group = mGroups[aMember.mEntry.mGroup];
     const bool isDecided = mHooks.mLeader(aMember.mEntry.mGroup) == aMember.mEntry.mId;
-    if (!group.mLeaderlessSince && (aMember.mPrimarySince > 0 || isDecided)) {
+    if (!group.mLeaderlessSince && (aMember.mPrimarySince || isDecided)) {
       group.mLeaderlessSince = aNow;
     }
     if (group.mProvenPrimary == aMember.mEntry.mId) {
--- a/tests/auto/platform/tst_platformdecoding.cpp
+++ b/tests/auto/platform/tst_platformdecoding.cpp
@@ -157,6 +157,7 @@
   REQUIRE(member->mRole == proxy::MemberRole::Primary);
   REQUIRE(member->mSlots == 2);
   REQUIRE(member->mStartedAtMs == 1700000000000U);
+  REQUIRE(member->mSequence == 4);
   REQUIRE(member->mRevision == 42);
   REQUIRE_FALSE(member->mDraining);
 }
--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -134,6 +134,20 @@
   REQUIRE(fixture.mCore.PrimaryOf("group", fixture.mNow).mMember == "p");
 }
 
+// Guards against an old primary that is preferred to its successor, because the store has
+// given out lower revisions since its return.
+TEST_CASE("of two listed primaries, the one of the newer incarnation is presumed")
+{
+  CoreFixture fixture;
+  fixture.mEntries[0].mIncarnation = 1;
+  fixture.mEntries[0].mRevision = 500;
+  fixture.mEntries[1].mIncarnation = 2;
+  fixture.mEntries[1].mRevision = 20;
+  fixture.mEntries[1].mRole = MemberRole::Primary;
+  fixture.mCore.OnDirectory(fixture.mEntries, fixture.mNow);
+  REQUIRE(fixture.mCore.PrimaryOf("group", fixture.mNow).mMember == "r1");
+}
+
 TEST_CASE(
   "a member whose entry moves to another group receives no reads of the old group")
 {
