Write an instance's row again soon after a return of the store

An instance now reads and writes again within 20 ms for each instance after it has learnt of the return: 6 s at 300 instances, the readers of the zones first. Listed instances have a full lifetime from the return. A row of an earlier incarnation doesn't show that a restarted process was listed, and a new limiter whose row may be lost waits from the time at which it is written again.

--- a/src/libs/proxy/customers/limitertable.cpp
+++ b/src/libs/proxy/customers/limitertable.cpp
@@ -59,7 +59,12 @@
 {
   mIsolation.OnOwnRow(aRow, aNow);
   mListSpread = ListSpreadFor(aRow.mReadInterval);
-  if (!mFirstWrittenAt && aRow.mWrittenAt > mStartedAt) {
+  const bool isListed = mFirstWrittenAt && aNow - *mFirstWrittenAt >= mListSpread;
+  if (aRow.mMayBeLost && !isListed) {
+    // Instances that haven't read the row yet list this one only after it is written
+    // again.
+    mFirstWrittenAt.reset();
+  } else if (!mFirstWrittenAt && aRow.mWrittenAt > mStartedAt) {
     mFirstWrittenAt = aRow.mWrittenAt;
   }
 }
--- a/src/libs/proxy/instanceregistry.cpp
+++ b/src/libs/proxy/instanceregistry.cpp
@@ -1,13 +1,8 @@
 #include "proxy/instanceregistry.h"
 
-#include "core/numericaddress.h"
 #include "core/stablehash.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <optional>
-#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -40,10 +35,14 @@
 constexpr Duration kMaxDelayAfterReader = std::chrono::milliseconds(400);
 // A reader whose own read is slow is queried again after this time.
 constexpr Duration kMinReadPause = std::chrono::milliseconds(250);
-// The weight of an instance is the square of its processor share.
-constexpr double kMaxWeight = 1e8;
 // A row expires after three heartbeat intervals of its writer plus a margin.
 constexpr double kHeartbeatsUntilExpiry = 3.2;
+// After a return of the store, all instances write at different times: 50 rows a second,
+// of 200 that the store writes into a table's part.
+constexpr Duration kRewriteSpreadPerInstance = std::chrono::milliseconds(20);
+// The readers of the zones read the table before the other instances query them.
+constexpr Duration kReaderRewriteSpread = std::chrono::milliseconds(500);
+constexpr Duration kReadersFirst = std::chrono::seconds(1);
 
 /** @return heartbeat interval for the given number of instances */
 Duration
@@ -62,20 +61,6 @@
   return aInstances > kManyInstances ? kLargeReadInterval : kHeartbeatInterval;
 }
 
-std::string
-EncodeInstance(const RegisteredInstance& aInstance,
-               std::uint64_t aHeartbeat,
-               std::uint64_t aStoreTimeMs)
-{
-  return fmt::format("{} {} {} {} {} {}",
-                     aInstance.mZone,
-                     aInstance.mPeerAddress,
-                     aInstance.mWeight,
-                     aInstance.mIsLeaving ? "leaving" : "serving",
-                     aHeartbeat,
-                     aStoreTimeMs);
-}
-
 /** @return lifetime of a row that isn't rewritten */
 Duration
 RowLifetimeFor(std::size_t aInstances)
@@ -84,42 +69,6 @@
                                               kHeartbeatsUntilExpiry);
 }
 
-/** @return whether the other instances still list the writer of a row; true if the row
- * has no time */
-bool
-IsRowLive(const StoredRow& aRow, const TableSnapshot& aSnapshot)
-{
-  std::istringstream words(aRow.mValue);
-  std::string word;
-  for (int skipped = 0; skipped < 5; skipped++) {
-    words >> word;
-  }
-  std::uint64_t writtenAtMs = 0;
-  if (!(words >> writtenAtMs) || writtenAtMs == 0 || aSnapshot.mStoreTimeMs == 0) {
-    return true;
-  }
-  const auto lifetime = RowLifetimeFor(aSnapshot.mRows.size() - 1);
-  return aSnapshot.mStoreTimeMs >= writtenAtMs &&
-         aSnapshot.mStoreTimeMs - writtenAtMs <
-           static_cast<std::uint64_t>(lifetime / std::chrono::milliseconds(1));
-}
-
-std::optional<RegisteredInstance>
-DecodeInstance(const StoredRow& aRow)
-{
-  std::istringstream words(aRow.mValue);
-  RegisteredInstance instance;
-  std::string state;
-  instance.mInstance = aRow.mKey;
-  if (!(words >> instance.mZone >> instance.mPeerAddress >> instance.mWeight >> state) ||
-      !IsNumericAddress(instance.mPeerAddress) ||
-      !(instance.mWeight > 0 && instance.mWeight <= kMaxWeight)) {
-    return std::nullopt;
-  }
-  instance.mIsLeaving = state == "leaving";
-  return instance;
-}
-
 } // namespace
 
 InstanceRegistry::InstanceRegistry(RegisteredInstance aSelf,
@@ -134,6 +83,44 @@
 {
 }
 
+bool
+InstanceRegistry::IsOlder(const StoredRow& aRow,
+                          const InstanceWriteTime& aWritten,
+                          const KnownRow& aKnown)
+{
+  const InstanceWriteTime& known = aKnown.mWritten;
+  const bool areIncarnationsKnown = aWritten.mIncarnation != 0 && known.mIncarnation != 0;
+  if (areIncarnationsKnown && aWritten.mIncarnation != known.mIncarnation) {
+    return aWritten.mIncarnation < known.mIncarnation;
+  }
+  if (aRow.mIncarnation == aKnown.mVersion.mIncarnation) {
+    return false;
+  }
+  // The store's clock goes on from process to process, heartbeats are counted anew.
+  if (aWritten.mStoreTimeMs != 0 && known.mStoreTimeMs != 0 &&
+      aWritten.mStoreTimeMs != known.mStoreTimeMs) {
+    return aWritten.mStoreTimeMs < known.mStoreTimeMs;
+  }
+  return aWritten.mHeartbeat <= known.mHeartbeat;
+}
+
+bool
+InstanceRegistry::IsRowLive(const StoredRow& aRow, const TableSnapshot& aSnapshot)
+{
+  const InstanceWriteTime written = DecodeInstanceWriteTime(aRow);
+  if (written.mIncarnation != 0 && written.mIncarnation != aSnapshot.mIncarnation) {
+    // The time is that of another clock, and the row may be older than the last one.
+    return false;
+  }
+  if (written.mStoreTimeMs == 0 || aSnapshot.mStoreTimeMs == 0) {
+    return written.mIncarnation == 0;
+  }
+  const auto lifetime = RowLifetimeFor(aSnapshot.mRows.size() - 1);
+  return aSnapshot.mStoreTimeMs >= written.mStoreTimeMs &&
+         aSnapshot.mStoreTimeMs - written.mStoreTimeMs <
+           static_cast<std::uint64_t>(lifetime / std::chrono::milliseconds(1));
+}
+
 void
 InstanceRegistry::Leave()
 {
@@ -149,7 +136,9 @@
   // Other instances may not have received all rows yet, and then use the lifetime of a
   // smaller deployment.
   const std::size_t rows = mKnownRows.size();
-  return { mConfirmedAt, RowLifetimeFor(rows - rows / 4), ReadIntervalFor(rows) };
+  return {
+    mConfirmedAt, RowLifetimeFor(rows - rows / 4), ReadIntervalFor(rows), mIsRewriteDue
+  };
 }
 
 void
@@ -160,9 +149,40 @@
   }
   mHeartbeatCount++;
   mNextReadAt = aNow + NextReadPause();
+  if (mIsRewriteDue && aNow < mRewriteAt) {
+    mNextReadAt = std::min(mNextReadAt, mRewriteAt);
+  }
   mStore.mRead(kInstanceTable, [this](const ReadResult& aResult) { OnRead(aResult); });
 }
 
+void
+InstanceRegistry::OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow)
+{
+  if (aIncarnation <= mIncarnation) {
+    return;
+  }
+  mIncarnation = aIncarnation;
+  if (mWrittenAt == TimePoint()) {
+    return;
+  }
+  mIsRewriteDue = true;
+  const std::size_t rows = mKnownRows.size();
+  const bool isReader = rows > kManyInstances && !mIsRelayed;
+  const Duration spread =
+    isReader ? kReaderRewriteSpread : Duration(kRewriteSpreadPerInstance * (rows + 1));
+  const auto spreadMs = static_cast<std::uint64_t>(spread / std::chrono::milliseconds(1));
+  Duration delay =
+    std::chrono::milliseconds(StableHash({ mSelf.mInstance, "return" }) % spreadMs);
+  if (mSelf.mIsLeaving) {
+    delay = {};
+  } else if (mIsRelayed) {
+    delay += kReadersFirst;
+  }
+  mRewriteAt = aNow + delay;
+  // The read finds the version under which the row has to be written.
+  mNextReadAt = std::min(mNextReadAt, mRewriteAt);
+}
+
 Duration
 InstanceRegistry::NextReadPause()
 {
@@ -209,15 +229,19 @@
     return;
   }
   const TimePoint now = mNow();
+  OnIncarnation(snapshot->mIncarnation, now);
+  if (snapshot->mIncarnation < mIncarnation) {
+    return;
+  }
   if (snapshot->mIncarnation > mOwnVersion.mIncarnation) {
-    // The store may have lost the row.
-    mOwnVersion = { snapshot->mIncarnation, 0 };
+    OnReturn(*snapshot, now);
   }
   if (snapshot->mStoreTimeMs != 0) {
     mStoreTimeMs = snapshot->mStoreTimeMs;
     mStoreTimeReadAt = now;
   }
-  if (snapshot->mAge > Duration()) {
+  mIsRelayed = snapshot->mAge > Duration();
+  if (mIsRelayed) {
     AlignWithReader(snapshot->mAge, now);
   }
   for (const StoredRow& row : snapshot->mRows) {
@@ -228,19 +252,65 @@
       mOwnVersion = std::max(mOwnVersion, row.Version());
       continue;
     }
-    const auto instance = DecodeInstance(row);
-    KnownRow& seen = mKnownRows[row.mKey];
-    if (instance && seen.mVersion != row.Version()) {
-      seen = { row.Version(), now, *instance };
+    ReadRow(row, now);
+  }
+  ReportInstances(now);
+  // Reads that follow each other in less than a heartbeat interval don't need a write
+  // each.
+  const std::size_t rows = mKnownRows.size();
+  const bool isHeartbeatDue =
+    mOwnVersion.mRevision == 0 ||
+    now - mWrittenAt >= HeartbeatIntervalFor(rows) - ReadIntervalFor(rows) / 2;
+  // The instances read at about the same time, and must not write then after a return.
+  if (mIsRewriteDue ? now >= mRewriteAt : isHeartbeatDue) {
+    WriteRow();
+  }
+}
+
+void
+InstanceRegistry::OnReturn(const TableSnapshot& aSnapshot, TimePoint aNow)
+{
+  mOwnVersion = { aSnapshot.mIncarnation, 0 };
+  mStoreTimeMs = 0;
+  for (auto& [name, known] : mKnownRows) {
+    if (known.mIsListed) {
+      // What the instance has written in the lost time may be gone.
+      known.mChangedAt = aNow;
     }
   }
+}
+
+void
+InstanceRegistry::ReadRow(const StoredRow& aRow, TimePoint aNow)
+{
+  const auto instance = DecodeInstance(aRow);
+  KnownRow& known = mKnownRows[aRow.mKey];
+  if (!instance || known.mVersion == aRow.Version()) {
+    return;
+  }
+  const InstanceWriteTime written = DecodeInstanceWriteTime(aRow);
+  const bool isNew = known.mVersion == StoreRevision();
+  if (!isNew && IsOlder(aRow, written, known)) {
+    known.mVersion = aRow.Version();
+    return;
+  }
+  known.mVersion = aRow.Version();
+  known.mChangedAt = aNow;
+  known.mInstance = *instance;
+  known.mWritten = written;
+}
+
+void
+InstanceRegistry::ReportInstances(TimePoint aNow)
+{
   const Duration lifetime = RowLifetimeFor(mKnownRows.size());
   std::vector<RegisteredInstance> live{ mSelf };
   std::string report;
-  for (const auto& [name, seen] : mKnownRows) {
-    if (now - seen.mChangedAt < lifetime) {
-      live.push_back(seen.mInstance);
-      report += EncodeInstance(seen.mInstance, 0, 0) + name + ";";
+  for (auto& [name, known] : mKnownRows) {
+    known.mIsListed = aNow - known.mChangedAt < lifetime;
+    if (known.mIsListed) {
+      live.push_back(known.mInstance);
+      report += EncodeInstance(known.mInstance) + name + ";";
     }
   }
   // When all instances start simultaneously, the first read finds no other rows and may
@@ -251,15 +321,6 @@
     mHasReported = true;
     mHook(live);
   }
-  // Reads that follow each other in less than a heartbeat interval don't need a write
-  // each.
-  const std::size_t rows = mKnownRows.size();
-  const bool isDue =
-    mOwnVersion.mRevision == 0 ||
-    now - mWrittenAt >= HeartbeatIntervalFor(rows) - ReadIntervalFor(rows) / 2;
-  if (isDue) {
-    WriteRow();
-  }
 }
 
 void
@@ -269,7 +330,8 @@
   StoredRow row;
   row.mTable = kInstanceTable;
   row.mKey = mSelf.mInstance;
-  row.mValue = EncodeInstance(mSelf, mHeartbeatCount, StoreTimeMs(mWrittenAt));
+  row.mValue = EncodeInstanceRow(
+    mSelf, { mHeartbeatCount, StoreTimeMs(mWrittenAt), mOwnVersion.mIncarnation });
   row.mRevision = mOwnVersion.mRevision;
   row.mIncarnation = mOwnVersion.mIncarnation;
   // The next heartbeat repeats a write that was lost.
@@ -277,8 +339,23 @@
     if (const auto* written = std::get_if<Written>(&aResult)) {
       mOwnVersion = std::max(mOwnVersion, { written->mIncarnation, written->mRevision });
       mConfirmedAt = std::max(mConfirmedAt, sentAt);
+      OnOwnRowWritten(*written);
     }
   });
 }
 
+void
+InstanceRegistry::OnOwnRowWritten(const Written& aWritten)
+{
+  if (aWritten.mIncarnation != mIncarnation) {
+    return;
+  }
+  mIsRewriteDue = false;
+  // Relayed lists have no time, and that of the earlier incarnation was dropped.
+  if (mStoreTimeMs == 0 && aWritten.mIncarnation != 0) {
+    mStoreTimeMs = aWritten.mStoreTimeMs;
+    mStoreTimeReadAt = mNow();
+  }
+}
+
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/instanceregistry.h
+++ b/src/libs/proxy/instanceregistry.h
@@ -2,6 +2,7 @@
 
 #include "core/timetypes.h"
 #include "proxy/hometable.h"
+#include "proxy/instancerow.h"
 #include "proxy/rowstore.h"
 
 #include <cstdint>
@@ -27,6 +28,8 @@
   Duration mLifetime{};
   /** Interval at which the other instances read the rows, at most. */
   Duration mReadInterval{};
+  /** Whether the store may have lost the row in a return to an older state. */
+  bool mMayBeLost = false;
 };
 
 /**
@@ -36,6 +39,10 @@
  * large deployments it reads more often than it writes, because reads go through a reader
  * of the zone. An instance is live as long as its row changes. While the store is
  * unavailable, the last known list stays in effect.
+ *
+ * After a return of the store to an older state, each instance writes its row again
+ * within some seconds. Rows that were written before the known ones change nothing, and
+ * listed instances have their full lifetime from then on.
  */
 class InstanceRegistry
 {
@@ -57,6 +64,9 @@
 
   [[nodiscard]] ConfirmedRow OwnRow() const;
 
+  /** Learns an incarnation of the store; the own row is written again soon if the store
+   * may have lost it. */
+  void OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow);
   void OnTimer(TimePoint aNow);
   /** @return when OnTimer is due */
   [[nodiscard]] TimePoint NextTimer() const { return mNextReadAt; }
@@ -67,9 +77,26 @@
     StoreRevision mVersion;
     TimePoint mChangedAt;
     RegisteredInstance mInstance;
+    InstanceWriteTime mWritten;
+    /** Whether the last list that was built has the instance. */
+    bool mIsListed = false;
   };
 
+  /** @return whether a row was written no later than the known one */
+  static bool IsOlder(const StoredRow& aRow,
+                      const InstanceWriteTime& aWritten,
+                      const KnownRow& aKnown);
+  /** @return whether the other instances still list the writer of a row; true if the row
+   * has no time */
+  static bool IsRowLive(const StoredRow& aRow, const TableSnapshot& aSnapshot);
+  /** Adapts to a snapshot of a newer incarnation than the known one. */
+  void OnReturn(const TableSnapshot& aSnapshot, TimePoint aNow);
+  void ReadRow(const StoredRow& aRow, TimePoint aNow);
+  /** Reports the list of live instances if it has changed. */
+  void ReportInstances(TimePoint aNow);
+
   void WriteRow();
+  void OnOwnRowWritten(const Written& aWritten);
   /** @return time until the next read */
   [[nodiscard]] Duration NextReadPause();
   /** Moves the next read behind the next read of the instance that has relayed the rows.
@@ -85,6 +112,8 @@
   std::function<TimePoint()> mNow;
   ChangedHook mHook;
   std::map<std::string, KnownRow> mKnownRows;
+  /** Newest incarnation of the store that is known. */
+  std::uint64_t mIncarnation = 0;
   /** Version of the own row; its incarnation is the newest one that was read. */
   StoreRevision mOwnVersion;
   TimePoint mWrittenAt;
@@ -97,6 +126,12 @@
   std::string mReportedInstances;
   bool mHasReported = false;
   bool mWasListedBefore = false;
+  /** Whether the store may have lost the own row in a return. */
+  bool mIsRewriteDue = false;
+  /** When the own row is written again after a return. */
+  TimePoint mRewriteAt;
+  /** Whether the last list was relayed by another instance. */
+  bool mIsRelayed = false;
   /** Number of reads since one has returned more than kManyInstances rows. */
   std::size_t mReadsOfMany = 0;
   TimePoint mNextReadAt;
--- a/tests/auto/proxy/instancefixture.h
+++ b/tests/auto/proxy/instancefixture.h
@@ -3,6 +3,7 @@
 #include "proxy/hometable.h"
 #include "proxy/instanceregistry.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -33,6 +34,20 @@
   bool mIsUnavailable = false;
   std::size_t mReads = 0;
   std::uint64_t mStoreTimeMs = 0;
+  std::uint64_t mIncarnation = 0;
+  /** Writes that took effect, by key. */
+  std::map<std::string, std::size_t> mWrites;
+
+  /** Returns to an earlier state, with its revisions. */
+  void Return(const std::map<std::string, StoredRow>& aRows)
+  {
+    mRows = aRows;
+    mRevision = 0;
+    for (const auto& [key, row] : mRows) {
+      mRevision = std::max(mRevision, row.mRevision);
+    }
+    mIncarnation++;
+  }
 
   SharedStore Store()
   {
@@ -45,22 +60,26 @@
       }
       TableSnapshot snapshot;
       snapshot.mStoreTimeMs = mStoreTimeMs;
+      snapshot.mIncarnation = mIncarnation;
       for (const auto& [key, row] : mRows) {
         snapshot.mRows.push_back(row);
+        snapshot.mRows.back().mIncarnation = mIncarnation;
       }
       aHook(snapshot);
     };
     store.mWrite = [this](const ConditionalWrite& aWrite,
                           std::function<void(const WriteResult&)> aHook) {
       StoredRow& row = mRows[aWrite.mRow.mKey];
-      if (mIsUnavailable || row.mRevision != aWrite.mRow.mRevision) {
+      if (mIsUnavailable || aWrite.mRow.mIncarnation != mIncarnation ||
+          row.mRevision != aWrite.mRow.mRevision) {
         aHook(mIsUnavailable ? WriteResult(StoreFailure::NoAnswer)
                              : WriteResult(RowConflict{}));
         return;
       }
       row = aWrite.mRow;
       row.mRevision = ++mRevision;
-      aHook(Written{ row.mRevision, 0 });
+      mWrites[row.mKey]++;
+      aHook(Written{ row.mRevision, mStoreTimeMs, mIncarnation });
     };
     return store;
   }
--- a/tests/auto/proxy/ratesimulation.h
+++ b/tests/auto/proxy/ratesimulation.h
@@ -53,6 +53,7 @@
     mRunning.clear();
     instance.mIsSuspended = false;
     instance.mDelayed.clear();
+    instance.mIncarnation = 0;
     instance.mLimiters = std::make_unique<LimiterTable>(aName, aZone, mNow);
     instance.mLedger = std::make_unique<RateLedger>(InitialTokens(mWindow));
     instance.mHolder = std::make_unique<RateHolder>(HolderHooks(aName));
@@ -95,6 +96,21 @@
     }
   }
 
+  /** Lets the store be away for a second and return to a copy. The instances learn of it
+   * within two seconds, by the answers to other calls. */
+  void ReturnStore(const SimulatedStore::State& aCopy)
+  {
+    mIsStoreAway = true;
+    RunFor(1s);
+    mIsStoreAway = false;
+    mStore.Return(aCopy);
+    for (const std::string& name : Running()) {
+      ScheduleAt(name, mNumbers.Between(0ms, 2s), [this, name] {
+        OnIncarnation(name, mStore.Incarnation());
+      });
+    }
+  }
+
   /** Changes a customer's limit; each instance learns of it within 5 s. */
   void ChangeLimit(const std::string& aCustomer, const RateLimit& aLimit)
   {
@@ -140,8 +156,26 @@
   LinkFaults mLinkFaults;
   std::map<std::string, Customer, std::less<>> mCustomers;
   std::map<std::string, Instance> mInstances;
+  SimulatedStore mStore;
+  /** Reads and writes that the store has received, by second. */
+  std::map<TimePoint, std::uint64_t> mReads;
+  std::map<TimePoint, std::uint64_t> mWrites;
 
 private:
+  void OnIncarnation(const std::string& aName, std::uint64_t aIncarnation)
+  {
+    Instance& instance = mInstances.at(aName);
+    if (aIncarnation > instance.mIncarnation) {
+      instance.mIncarnation = aIncarnation;
+      instance.mRegistry->OnIncarnation(aIncarnation, mNow);
+    }
+  }
+
+  [[nodiscard]] TimePoint PresentSecond() const
+  {
+    return mNow - mNow.time_since_epoch() % 1s;
+  }
+
   /** Schedules an event of the instance's present process. */
   void ScheduleAt(const std::string& aName, Duration aDelay, std::function<void()> aEvent)
   {
@@ -337,7 +371,8 @@
     };
     hooks.mRead = [this, aName](TimePoint,
                                 const std::function<void(const ReadResult&)>& aHook) {
-      if (!mInstances.at(aName).mReachesStore) {
+      mReads[PresentSecond()]++;
+      if (mIsStoreAway || !mInstances.at(aName).mReachesStore) {
         ScheduleAt(aName, 1s, [aHook] { aHook(StoreFailure::NoAnswer); });
         return;
       }
@@ -345,7 +380,17 @@
       const bool isSlow = mNumbers.Happens(kSlowStorePerMillion);
       ScheduleAt(aName,
                  isSlow ? mNumbers.Between(10ms, 2500ms) : mNumbers.Between(5ms, 30ms),
-                 [aHook, snapshot] { aHook(snapshot); });
+                 [this, aName, aHook, snapshot] {
+                   OnIncarnation(aName, snapshot.mIncarnation);
+                   const bool isNewest =
+                     snapshot.mIncarnation == mInstances.at(aName).mIncarnation;
+                   aHook(isNewest ? ReadResult(snapshot)
+                                  : ReadResult(StoreFailure::NoAnswer));
+                 });
+    };
+    hooks.mIncarnation = [this, aName] { return mInstances.at(aName).mIncarnation; };
+    hooks.mOnIncarnation = [this, aName](std::uint64_t aIncarnation) {
+      OnIncarnation(aName, aIncarnation);
     };
     return hooks;
   }
@@ -362,9 +407,12 @@
     Deliver(aName, aReader, [this, aName, aReader, aRequest, isDone, aHook] {
       const SnapshotReader& reader = *mInstances.at(aReader).mReader;
       RelayAnswer answer;
-      answer.mIsRefused = !reader.ReadAsOf();
+      OnIncarnation(aReader, aRequest.mIncarnation);
+      answer.mIsRefused =
+        !reader.ReadAsOf() || reader.Copy().Incarnation() < aRequest.mIncarnation;
       if (!answer.mIsRefused) {
-        answer = reader.Copy().ChangesAfter({ 0, aRequest.mSinceRevision });
+        answer = reader.Copy().ChangesAfter(
+          { aRequest.mSinceIncarnation, aRequest.mSinceRevision });
         answer.mRevision = reader.Copy().Revision();
         answer.mAge = mNow - *reader.ReadAsOf();
       }
@@ -391,11 +439,28 @@
     };
     store.mWrite = [this, aName](const ConditionalWrite& aWrite,
                                  const std::function<void(const WriteResult&)>& aHook) {
-      if (!mInstances.at(aName).mReachesStore) {
+      const Instance& instance = mInstances.at(aName);
+      if (aWrite.mRow.mIncarnation != instance.mIncarnation) {
+        aHook(RowConflict{});
+        return;
+      }
+      mWrites[PresentSecond()]++;
+      if (mIsStoreAway || !instance.mReachesStore) {
         ScheduleAt(aName, 1s, [aHook] { aHook(StoreFailure::NoAnswer); });
         return;
       }
-      ScheduleAt(aName, 5ms, [aHook, result = mStore.Write(aWrite)] { aHook(result); });
+      ScheduleAt(aName,
+                 5ms,
+                 [this,
+                  aName,
+                  aHook,
+                  expected = aWrite.mRow.mIncarnation,
+                  incarnation = mStore.Incarnation(),
+                  result = mStore.Write(aWrite)] {
+                   OnIncarnation(aName, incarnation);
+                   const bool isKnown = mInstances.at(aName).mIncarnation == expected;
+                   aHook(isKnown ? result : WriteResult(StoreFailure::NoAnswer));
+                 });
     };
     return store;
   }
@@ -410,7 +475,7 @@
   std::uint64_t mNextProcess = 1;
   std::uint64_t mNextOperation = 1;
   std::map<std::uint64_t, std::string> mPending;
-  SimulatedStore mStore;
+  bool mIsStoreAway = false;
   /** Instances that run; empty after a change. */
   mutable std::vector<std::string> mRunning;
 };
--- a/tests/auto/proxy/simulatedinstance.h
+++ b/tests/auto/proxy/simulatedinstance.h
@@ -46,6 +46,8 @@
   bool mIsSuspended = false;
   bool mReachesPeers = true;
   bool mReachesStore = true;
+  /** Newest incarnation of the store that the process knows. */
+  std::uint64_t mIncarnation = 0;
   std::unique_ptr<LimiterTable> mLimiters;
   std::unique_ptr<RateLedger> mLedger;
   std::unique_ptr<RateHolder> mHolder;
--- a/tests/auto/proxy/simulatedstore.h
+++ b/tests/auto/proxy/simulatedstore.h
@@ -14,6 +14,25 @@
 class SimulatedStore
 {
 public:
+  /** A state to which the store can return. */
+  struct State
+  {
+    std::map<std::string, StoredRow> mRows;
+    std::uint64_t mRevision = 0;
+  };
+
+  [[nodiscard]] State Copy() const { return { mRows, mRevision }; }
+
+  /** Returns to a copy, in the next incarnation. */
+  void Return(const State& aCopy)
+  {
+    mRows = aCopy.mRows;
+    mRevision = aCopy.mRevision;
+    mIncarnation++;
+  }
+
+  [[nodiscard]] std::uint64_t Incarnation() const { return mIncarnation; }
+
   TableSnapshot Snapshot(TimePoint aNow) const
   {
     TableSnapshot snapshot;
@@ -22,7 +41,9 @@
     snapshot.mRevision = mRevision;
     for (const auto& [key, row] : mRows) {
       snapshot.mRows.push_back(row);
+      snapshot.mRows.back().mIncarnation = mIncarnation;
     }
+    snapshot.mIncarnation = mIncarnation;
     return snapshot;
   }
 
@@ -34,12 +55,14 @@
     }
     row = aWrite.mRow;
     row.mRevision = ++mRevision;
-    return Written{ mRevision, 0 };
+    return Written{ mRevision, 0, mIncarnation };
   }
 
 private:
   std::map<std::string, StoredRow> mRows;
   std::uint64_t mRevision = 0;
+  /** 0 until the first return. */
+  std::uint64_t mIncarnation = 0;
 };
 
 } // namespace papayaspindle::proxy
--- a/tests/auto/proxy/tst_largedeployment.cpp
+++ b/tests/auto/proxy/tst_largedeployment.cpp
@@ -38,8 +38,16 @@
   /** @return names of the limiters of the customer that is over its limit */
   std::vector<std::string> Limiters()
   {
-    const std::string any = mSimulation.Running().front();
-    return mSimulation.mInstances.at(any).mLimiters->LimitersOf("over", mSimulation.mNow);
+    return LimitersAt(mSimulation.Running().front());
+  }
+
+  /** @return names of the limiters by the list of an instance, in alphabetical order */
+  std::vector<std::string> LimitersAt(const std::string& aInstance)
+  {
+    auto limiters = mSimulation.mInstances.at(aInstance).mLimiters->LimitersOf(
+      "over", mSimulation.mNow);
+    std::sort(limiters.begin(), limiters.end());
+    return limiters;
   }
 
   double ExcessOf(const std::string& aCustomer)
@@ -137,3 +145,44 @@
   simulation.RunFor(35s);
   CHECK(deployment.ExcessOf("over") <= 0);
 }
+
+// Guards against instances that act as the only limiters after a return of the store to
+// an older state, and against a store whose rates are exceeded because all of them write
+// their rows again at once.
+TEST_CASE("a return of the store doesn't let a customer exceed its limit")
+{
+  const auto instances = GENERATE(6U, 60U, 300U);
+  const auto lost = GENERATE(1s, 5s, 30s);
+  const std::uint64_t seed = FirstSeed();
+  CAPTURE(instances, lost.count(), seed);
+  LargeDeployment deployment(seed, instances);
+  RateSimulation& simulation = deployment.mSimulation;
+  // The first return is that of a store which has announced no incarnation before.
+  simulation.RunFor(40s);
+  const auto copy = simulation.mStore.Copy();
+  simulation.RunFor(lost);
+  const auto limiters = deployment.Limiters();
+  const TimePoint start = simulation.mNow;
+  simulation.ReturnStore(copy);
+  simulation.RunFor(4s);
+  simulation.ReturnStore(copy);
+  CHECK(deployment.RefusedShareDuring(60s) < 0.02);
+  CHECK(deployment.ExcessOf("over") <= 0);
+  CHECK(deployment.ExcessOf("below") <= 0);
+  for (const std::string& name : simulation.Running()) {
+    INFO(name);
+    CHECK(deployment.LimitersAt(name) == limiters);
+  }
+  // A part of a table takes 200 writes a second, and the rows of leadership are written
+  // again at the same time.
+  const auto mostSince = [&](const std::map<TimePoint, std::uint64_t>& aCalls) {
+    std::uint64_t most = 0;
+    for (const auto& [second, calls] : aCalls) {
+      const bool isCounted = second >= start && second < start + 15s;
+      most = std::max(most, isCounted ? calls : 0);
+    }
+    return most;
+  };
+  CHECK(mostSince(simulation.mWrites) <= 100);
+  CHECK(mostSince(simulation.mReads) <= 100);
+}
--- a/tests/auto/proxy/tst_limitertable.cpp
+++ b/tests/auto/proxy/tst_limitertable.cpp
@@ -214,3 +214,32 @@
   fixture.Advance(11s);
   REQUIRE(fixture.IsInCharge("acme"));
 }
+
+// Guards against a new limiter that grants its part before the others list it, because
+// the store has lost its row in a return to an older state.
+TEST_CASE("a new limiter waits for 11 s after its lost row is written again")
+{
+  LimiterFixture fixture;
+  fixture.Set(Instances(6));
+  const std::string customer = LimiterFixture::CustomerThatMoves(6, 12);
+  fixture.mAnswering = { "i1", "i2", "i3", "i4", "i5" };
+  const auto lostAfter = GENERATE(5s, 30s);
+  fixture.Advance(lostAfter);
+  const bool wasInCharge = lostAfter > 11s;
+  REQUIRE(fixture.IsInCharge(customer) == wasInCharge);
+  fixture.mRow.mMayBeLost = true;
+  fixture.mReachesStore = false;
+  for (int second = 0; second < 20; second++) {
+    fixture.Advance(1s);
+    fixture.mTable.OnOwnRow(fixture.mRow, fixture.mNow);
+    // The others keep an instance that they have listed.
+    REQUIRE(fixture.IsInCharge(customer) == wasInCharge);
+  }
+  fixture.mRow.mMayBeLost = false;
+  fixture.mReachesStore = true;
+  fixture.WriteRow();
+  fixture.Advance(10'999ms);
+  REQUIRE(fixture.IsInCharge(customer) == wasInCharge);
+  fixture.Advance(1ms);
+  REQUIRE(fixture.IsInCharge(customer));
+}
