Discard tokens, rows and attempts of an earlier incarnation of the store

Homes that had reserved tokens went on to use them. Rows that the store had lost stayed known, so that writes which expected them were never sent: no suspicion report, no roster and no claim of such a group was written again.

Claims and reservations take tokens above incarnation * 2^32, so that those of a later incarnation are above all earlier ones. When an instance learns of a return, its attempts end, their answers are ignored, its tokens and rows are dropped, and nothing starts before the new rows have been read. Reports among these don't count, as their age is unknown. The members in the earlier roster are written again. A store that announces no incarnation is handled as before.

tst_storerecovery: 5 of 8 cases fail if OnIncarnation only stores the number and tokens follow the row's; all pass after. The case on suspicion reports passes either way, as the old code didn't write a report at all.

--- a/src/libs/proxy/leadership/coordinationrows.cpp
+++ b/src/libs/proxy/leadership/coordinationrows.cpp
@@ -21,6 +21,9 @@
                                                        "reservation" };
 // Later tokens are computed from the stored one and must not overflow.
 constexpr std::uint64_t kMaxToken = std::uint64_t{ 1 } << 62U;
+// Each incarnation of the store has this many tokens; a claim takes five.
+constexpr unsigned kTokenBits = 32;
+constexpr std::uint64_t kMaxIncarnation = (kMaxToken >> kTokenBits) - 1;
 constexpr std::size_t kMaxRowFields = 5;
 constexpr std::size_t kMinRowFields = 3;
 
@@ -66,6 +69,15 @@
   return aKey.substr(kLeadershipPrefix.size());
 }
 
+std::optional<std::string_view>
+GroupOfReplicaRoster(std::string_view aKey)
+{
+  if (!aKey.starts_with(kReplicaRosterPrefix)) {
+    return std::nullopt;
+  }
+  return aKey.substr(kReplicaRosterPrefix.size());
+}
+
 std::optional<std::string_view>
 GroupOfSuspicionReport(std::string_view aKey)
 {
@@ -76,6 +88,13 @@
   return rest.substr(0, rest.find('/'));
 }
 
+std::uint64_t
+FirstTokenBound(std::uint64_t aIncarnation)
+{
+  // Above the limit, a row with the next token couldn't be decoded.
+  return std::min(aIncarnation, kMaxIncarnation) << kTokenBits;
+}
+
 std::string
 Encode(const LeadershipRow& aRow)
 {
--- a/src/libs/proxy/leadership/coordinationrows.h
+++ b/src/libs/proxy/leadership/coordinationrows.h
@@ -59,9 +59,15 @@
 std::string ReplicaRosterKey(std::string_view aGroup);
 /** @return the group if the key is that of a leadership row, otherwise nothing */
 std::optional<std::string_view> GroupOfLeadership(std::string_view aKey);
+/** @return the group if the key is that of a roster, otherwise nothing */
+std::optional<std::string_view> GroupOfReplicaRoster(std::string_view aKey);
 /** @return the group if the key is that of a suspicion report, otherwise nothing */
 std::optional<std::string_view> GroupOfSuspicionReport(std::string_view aKey);
 
+/** @return the token that all tokens of an incarnation of the store are above, and all
+ * tokens of earlier incarnations below; 0 for incarnation 0 */
+std::uint64_t FirstTokenBound(std::uint64_t aIncarnation);
+
 std::string Encode(const LeadershipRow& aRow);
 std::string Encode(const SuspicionReport& aRow);
 /** @return the row, or nothing if the text isn't a leadership row */
--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -19,10 +19,60 @@
 {
 }
 
+void
+PromotionCoordinator::OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow)
+{
+  if (aIncarnation <= mIncarnation) {
+    return;
+  }
+  mIncarnation = aIncarnation;
+  for (const auto& [key, seen] : mRows) {
+    if (const auto group = GroupOfReplicaRoster(key)) {
+      std::string& before = mPromotions[std::string(*group)].mEarlierRoster;
+      before += (before.empty() ? "" : " ") + seen.mRow.mValue;
+    }
+  }
+  mRows.clear();
+  mHasRows = false;
+  for (auto& [group, promotion] : mPromotions) {
+    if (promotion.mPhase != Phase::Monitoring) {
+      mHooks.mLog(LogLevel::Warning,
+                  "promotion_ended_by_store",
+                  { { "group", group },
+                    { "token", std::to_string(promotion.mToken) },
+                    { "incarnation", std::to_string(aIncarnation) } });
+    }
+    // Members that the attempt has paused are found once the rows are known again
+    // (CheckPauses). Its answers are ignored from now on, also those of a reservation.
+    const TimePoint claimAfter = promotion.mClaimAfter;
+    Abandon(promotion, kAbandonBackoff, aNow);
+    promotion.mClaimAfter = std::max(promotion.mClaimAfter, claimAfter);
+    promotion.mToken = 0;
+    promotion.mLastToken = 0;
+    promotion.mRowVersion = {};
+    promotion.mRowBeingWritten.reset();
+    promotion.mEndsPauses = false;
+    promotion.mPauseCheck = PauseCheck();
+    promotion.mRosterWriteAt = {};
+    promotion.mEarlierRosterUntil = aNow + kDepartedMemberRetention;
+    promotion.mReservationAt.reset();
+    // The rows no longer have this instance's report.
+    promotion.mReportedAt = {};
+    promotion.mHasReportedSuspicion = false;
+  }
+  mNextCheck = aNow;
+}
+
 void
 PromotionCoordinator::OnRows(std::span<const StoredRow> aRows, TimePoint aNow)
 {
   for (const StoredRow& row : aRows) {
+    OnIncarnation(row.mIncarnation, aNow);
+  }
+  for (const StoredRow& row : aRows) {
+    if (row.mIncarnation < mIncarnation) {
+      continue;
+    }
     SeenRow& seen = mRows[row.mKey];
     if (seen.mRow.Version() != row.Version()) {
       // The age of rows from the first read is unknown. Where a claim relies on pauses, a
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -85,7 +85,12 @@
   /** Updates the coordinator with the current rows of the whole coordination table. */
   void OnRows(std::span<const StoredRow> aRows, TimePoint aNow);
   /** Sets the incarnation of the store whose rows are expected from now on. */
-  void OnIncarnation(std::uint64_t aIncarnation) { mIncarnation = aIncarnation; }
+  /**
+   * Handles a return of the store to an older state. Ends all attempts and discards all
+   * tokens and rows of the earlier incarnation: the store may have lost what has granted
+   * them. No attempt starts before the next call of OnRows.
+   */
+  void OnIncarnation(std::uint64_t aIncarnation, TimePoint aNow);
   void OnTimer(TimePoint aNow);
   /** @return when OnTimer has to be called next */
   [[nodiscard]] TimePoint NextTimer() const { return mNextCheck; }
@@ -142,6 +147,10 @@
     ReplicaRoster mRoster;
     /** Earliest time of the next write of the roster's row. */
     TimePoint mRosterWriteAt;
+    /** Members in the row of the roster before the store's last return to an older state,
+     * which may have lost some of them. */
+    std::string mEarlierRoster;
+    TimePoint mEarlierRosterUntil;
     PauseCheck mPauseCheck;
     /** The replaced primary is asked whether it leads. */
     bool mIsConfirmingLeader = false;
@@ -238,6 +247,8 @@
                                 GroupPromotion& aPromotion,
                                 const std::string& aReason,
                                 TimePoint aNow);
+  /** @return the newest token that a claim must be above */
+  [[nodiscard]] std::uint64_t NewestToken(const std::string& aGroup) const;
   [[nodiscard]] Duration ClaimJitter(const std::string& aGroup) const;
   /** @return whether the leadership row of a promotion changed less than aInterval ago */
   [[nodiscard]] bool IsPromotionRecent(const std::string& aGroup,
--- a/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
@@ -2,6 +2,8 @@
 #include "proxy/leadership/promotioncoordinator.h"
 #include "proxy/leadership/promotiontimes.h"
 
+#include <algorithm>
+
 namespace papayaspindle::proxy {
 
 void
@@ -32,12 +34,11 @@
       Abandon(aPromotion, kMinClaimInterval, aNow);
       return;
     }
-    claim.mToken = current->mToken;
     const bool isCalled = current->mState == LeadershipState::Calling ||
                           current->mState == LeadershipState::Claimed;
     claim.mLeader = isCalled ? current->mLeader : "-";
   }
-  const std::uint64_t first = claim.mToken + 1;
+  const std::uint64_t first = NewestToken(aGroup) + 1;
   claim.mToken = first + kReservedTokens;
   claim.mHolder = mInstance;
   claim.mMember = aPromotion.mReplaced.empty() ? "-" : aPromotion.mReplaced;
@@ -83,14 +84,20 @@
   GroupPromotion& promotion = mPromotions[aGroup];
   const TimePoint now = mHooks.mNow();
   TrackStoreAvailability(promotion, aResult, now);
-  if (std::holds_alternative<Written>(aResult)) {
+  const auto* written = std::get_if<Written>(&aResult);
+  if (written != nullptr && written->mIncarnation > mIncarnation) {
+    // The store may lose the row again, or have lost it.
+    OnIncarnation(written->mIncarnation, now);
+    return;
+  }
+  if (written != nullptr) {
     promotion.mToken = aClaim.mToken - kReservedTokens;
     promotion.mLastToken = aClaim.mToken;
   }
   if (aState == LeadershipState::Reserved || promotion.mPhase != Phase::Claiming) {
     return;
   }
-  if (const auto* written = std::get_if<Written>(&aResult)) {
+  if (written != nullptr) {
     promotion.mRowBeingWritten.reset();
     promotion.mPendingMember = aClaim.mLeader;
     promotion.mRowVersion = { written->mIncarnation, written->mRevision };
@@ -144,6 +151,14 @@
   WriteClaim(aGroup, aPromotion, LeadershipState::Reserved, aNow);
 }
 
+std::uint64_t
+PromotionCoordinator::NewestToken(const std::string& aGroup) const
+{
+  // The store may have lost the rows with the newest tokens of earlier incarnations.
+  const auto row = LeadershipOf(aGroup);
+  return std::max(row ? row->mToken : 0, FirstTokenBound(mIncarnation));
+}
+
 bool
 PromotionCoordinator::HasReservedToken(const std::string& aGroup,
                                        const GroupPromotion& aPromotion) const
--- a/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
@@ -26,7 +26,11 @@
   const std::string key = ReplicaRosterKey(aGroup);
   const SeenRow* seen = FindRow(key);
   const std::string stored = seen == nullptr ? std::string() : seen->mRow.mValue;
-  aPromotion.mRoster.Update(mHooks.mMembers(aGroup), stored, aNow);
+  if (aNow >= aPromotion.mEarlierRosterUntil) {
+    aPromotion.mEarlierRoster.clear();
+  }
+  aPromotion.mRoster.Update(
+    mHooks.mMembers(aGroup), stored + " " + aPromotion.mEarlierRoster, aNow);
   if (aPromotion.mRoster.StoredValue() == stored || aNow < aPromotion.mRosterWriteAt) {
     return;
   }
--- a/tests/auto/proxy/storesimulation.h
+++ b/tests/auto/proxy/storesimulation.h
@@ -108,6 +108,37 @@
     DeliverRows();
   }
 
+  /** A state of the store. */
+  struct StoreCopy
+  {
+    std::map<std::string, StoredRow> mRows;
+    std::uint64_t mRevision = 0;
+    TimePoint mAt;
+  };
+
+  /** @return the store's state at a time, or the oldest one */
+  StoreCopy CopyAt(TimePoint aAt) const
+  {
+    StoreCopy copy;
+    for (const StoreCopy& earlier : mEarlierStates) {
+      if (earlier.mAt <= aAt) {
+        copy = earlier;
+      }
+    }
+    return copy;
+  }
+
+  /** The store returns to an older state and gives out its revisions again. Writes on
+   * their way are executed in that state. */
+  void ReturnTo(const StoreCopy& aCopy)
+  {
+    mRows = aCopy.mRows;
+    mRevision = aCopy.mRevision;
+    mIncarnation++;
+    RecordState();
+    DeliverRows();
+  }
+
   double Chance() { return std::uniform_real_distribution<double>(0, 1)(mRandom); }
 
   TimePoint mNow{ std::chrono::hours(1) };
@@ -143,6 +174,8 @@
   /** Instances that have used each token. */
   std::map<std::uint64_t, std::set<std::string>> mTokenHolders;
   std::vector<std::string> mViolations;
+  /** Incarnation of the store; 0 if it announces none. */
+  std::uint64_t mIncarnation = 0;
 
 private:
   std::vector<std::unique_ptr<PromotionCoordinator>> mEndedProcesses;
@@ -177,9 +210,11 @@
     std::vector<StoredRow> rows;
     for (const auto& [key, row] : mRows) {
       rows.push_back(row);
+      rows.back().mIncarnation = mIncarnation;
     }
     for (auto& [name, instance] : mInstances) {
       if (instance.mReachesStore && !instance.mIsFrozen) {
+        instance.mCoordinator->OnIncarnation(mIncarnation, mNow);
         instance.mCoordinator->OnRows(rows, mNow);
       }
     }
@@ -193,10 +228,13 @@
     }
     row = aWrite.mRow;
     row.mRevision = ++mRevision;
+    RecordState();
     Schedule(5ms, [this] { DeliverRows(); });
-    return Written{ row.mRevision, 0 };
+    return Written{ row.mRevision, 0, mIncarnation };
   }
 
+  void RecordState() { mEarlierStates.push_back({ mRows, mRevision, mNow }); }
+
   PromotionAnswer Promote(const PromotionCall& aCall)
   {
     if (mRefusesPromotion || aCall.mToken < mNewestToken) {
@@ -237,7 +275,17 @@
         Schedule(1500ms, [aHook] { aHook(StoreFailure::NoAnswer); });
         return;
       }
-      Schedule(6ms, [this, aWrite, aHook] { aHook(Apply(aWrite)); });
+      Schedule(6ms, [this, aName, aWrite, aHook] {
+        const WriteResult result = Apply(aWrite);
+        if (aWrite.mRow.mIncarnation == mIncarnation) {
+          aHook(result);
+          return;
+        }
+        // The answer tells the instance of the return.
+        mInstances[aName].mCoordinator->OnIncarnation(mIncarnation, mNow);
+        aHook(StoreFailure::NoAnswer);
+        Schedule(5ms, [this] { DeliverRows(); });
+      });
     };
     store.mPromote = [this, aName](const PromotionCall& aCall,
                                    std::function<void(PromotionAnswer)> aHook) {
@@ -344,6 +392,7 @@
 
   std::multimap<TimePoint, std::function<void()>> mScheduledTasks;
   std::uint64_t mRevision = 0;
+  std::vector<StoreCopy> mEarlierStates;
   std::mt19937_64 mRandom;
 
 public:
