Let the test of two primaries fail if revisions of incarnations are compared

The old primary kept the revision at which the fixture had listed it, which was lower than its successor's in either order. It now becomes the primary at revision 500 of the earlier incarnation. With ProxyCore comparing revisions only, the case fails; before this change it passed.

--- a/tests/auto/proxy/tst_proxyrouting.cpp
+++ b/tests/auto/proxy/tst_proxyrouting.cpp
@@ -139,8 +139,12 @@
 TEST_CASE("of two listed primaries, the one of the newer incarnation is presumed")
 {
   CoreFixture fixture;
+  fixture.mEntries[0].mRole = MemberRole::Replica;
+  fixture.mCore.OnDirectory(fixture.mEntries, fixture.mNow);
+  fixture.mEntries[0].mRole = MemberRole::Primary;
   fixture.mEntries[0].mIncarnation = 1;
   fixture.mEntries[0].mRevision = 500;
+  fixture.mCore.OnDirectory(fixture.mEntries, fixture.mNow);
   fixture.mEntries[1].mIncarnation = 2;
   fixture.mEntries[1].mRevision = 20;
   fixture.mEntries[1].mRole = MemberRole::Primary;
