Explore returns of the store with complete instances and with relays

The explorations had a store that never loses what it has acknowledged, so none of them could show the incident's faults.

tst_returnexploration runs the complete instances of tst_instanceexploration against a store that announces its incarnation, is away for up to 1.5 s and comes back 1 to 20 s older, one to six times within 10 s of other faults, also together with restarts of some or all instances. The directory and the operator's configuration go back, too, and are written again. Writes that are under way are carried out late. New checks: CONFIG, LIST and CALLS.

tst_relayexploration runs up to 24 followers in three zones, with readers and substitutes as ChooseReaders chooses them. It checks versions, rows, claimed ages, the time until the newest rows arrive and the calls to the store. RelaySimulation now treats answers of an earlier incarnation as lost, and lets a feed whose path was cut fail also if the path has healed.

--- a/tests/auto/exploration/exploration.cpp
+++ b/tests/auto/exploration/exploration.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Exploration::Exploration(std::uint64_t aSeed)
+Exploration::Exploration(std::uint64_t aSeed, Store aStore)
   : mContext(aSeed)
   , mSetup(ChooseSetup(mContext.mRandom))
   , mLedger(mContext)
@@ -29,6 +29,10 @@
   , mClients(mContext, mLedger, mInstances, mGroups, mConfiguration, mSetup.mCustomers)
   , mEnvironment(Environment())
 {
+  if (aStore == Store::Returns) {
+    mStore.AnnounceIncarnation();
+    StoreConfiguration();
+  }
   for (std::size_t index = 0; index < mSetup.mGroups; index++) {
     const std::string name = fmt::format("group{}", index);
     mGroups[name] = std::make_unique<SimulatedGroup>(
@@ -171,6 +175,7 @@
     }
     if (mSteps % kStepsPerCheck == 0) {
       CheckConnections();
+      CheckConfigurations();
     }
   }
 }
@@ -214,6 +219,10 @@
 Exploration::SendConfiguration(const std::shared_ptr<SimulatedInstance>& aInstance,
                                Duration aLongest)
 {
+  if (mStore.Incarnation() != 0) {
+    // The store feeds it.
+    return;
+  }
   mContext.mClock.After(mContext.mRandom.Between(1ms, aLongest),
                         [this, aInstance, configuration = mConfiguration] {
                           aInstance->Post([this, aInstance, configuration] {
@@ -227,11 +236,21 @@
 Exploration::ChangeConfiguration(const std::string& aWithdrawn)
 {
   mConfiguration = Configuration(mSetup, mConfiguration.mVersion + 1, aWithdrawn);
+  if (mStore.Incarnation() != 0) {
+    StoreConfiguration();
+  }
   for (const auto& [name, instance] : mInstances) {
     SendConfiguration(instance, 800ms);
   }
 }
 
+void
+Exploration::StoreConfiguration()
+{
+  mStore.WriteConfiguration(
+    std::make_shared<const proxy::ProxyConfiguration>(mConfiguration));
+}
+
 void
 Exploration::SuspendInstance(const std::string& aName)
 {
@@ -329,6 +348,9 @@
       }
     }
   }
+  if (mStore.Incarnation() != 0) {
+    CheckCopies();
+  }
   mClients.CheckUnanswered();
 }
 
--- a/tests/auto/exploration/exploration.h
+++ b/tests/auto/exploration/exploration.h
@@ -31,7 +31,14 @@
   using Instances = std::map<std::string, std::shared_ptr<SimulatedInstance>>;
   using Groups = std::map<std::string, std::unique_ptr<SimulatedGroup>>;
 
-  explicit Exploration(std::uint64_t aSeed);
+  /** Whether the store announces incarnations and may return to older states. */
+  enum class Store : std::uint8_t
+  {
+    Stays,
+    Returns,
+  };
+
+  explicit Exploration(std::uint64_t aSeed, Store aStore = Store::Stays);
   Exploration(const Exploration&) = delete;
   Exploration& operator=(const Exploration&) = delete;
 
@@ -48,6 +55,8 @@
    *
    * @param aWithdrawn customer whose key the version lacks; empty for none */
   void ChangeConfiguration(const std::string& aWithdrawn);
+  /** Writes the newest configuration to a store that may return. */
+  void StoreConfiguration();
 
   /** Checks that each group is served through each instance, and that no member is
    * paused. */
@@ -74,6 +83,16 @@
   bool mHasClients = true;
 
 private:
+  /** What an instance has received of the configuration in the store. */
+  struct ReceivedConfiguration
+  {
+    std::uint64_t mProcess = 0;
+    std::uint64_t mApplied = 0;
+    std::uint64_t mStored = 0;
+    /** Since when the store with this version has been reachable. */
+    TimePoint mSince;
+  };
+
   static ExplorationSetup ChooseSetup(RandomSource& aRandom);
   static proxy::ProxyConfiguration Configuration(const ExplorationSetup& aSetup,
                                                  std::uint64_t aVersion,
@@ -83,6 +102,12 @@
   InstanceEnvironment Environment();
   /** Compares the connections that instances count with those that they have opened. */
   void CheckConnections();
+  /** Checks that each instance applies the newest configuration in time, and no older
+   * one after a newer one. */
+  void CheckConfigurations();
+  void CheckConfiguration(const SimulatedInstance& aInstance);
+  /** Checks that each instance has the newest configuration and lists all others. */
+  void CheckCopies();
   std::vector<proxy::MemberExplanation> ExplainMembers(SimulatedInstance& aInstance,
                                                        const std::string& aGroup);
 
@@ -91,6 +116,7 @@
   std::vector<std::shared_ptr<SimulatedInstance>> mEndedProcesses;
   std::map<std::string, std::uint64_t> mProcesses;
   std::uint64_t mSteps = 0;
+  std::map<std::string, ReceivedConfiguration> mReceivedConfigurations;
 };
 
 } // namespace papayaspindle::exploration
--- a/tests/auto/exploration/instanceenvironment.h
+++ b/tests/auto/exploration/instanceenvironment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "exploration/storeaccess.h"
 #include "proxy/forwardedstatement.h"
 #include "proxy/membercommand.h"
 #include "proxy/memberentry.h"
@@ -41,13 +42,10 @@
   std::function<void(Instance, proxy::SessionKey, const proxy::ClientAnswer&)> mAnswer;
   std::function<void(Instance, proxy::SessionKey)> mAcceptSession;
   std::function<void(Instance, proxy::SessionKey)> mCloseSession;
-  std::function<void(Instance,
-                     std::string_view aTable,
-                     std::function<void(const proxy::ReadResult&)>)>
+  std::function<void(Instance, std::string_view aTable, StoreHook<proxy::ReadResult>)>
     mRead;
-  std::function<void(Instance,
-                     const proxy::ConditionalWrite&,
-                     std::function<void(const proxy::WriteResult&)>)>
+  std::function<
+    void(Instance, const proxy::ConditionalWrite&, StoreHook<proxy::WriteResult>)>
     mWrite;
   std::function<void(Instance,
                      const proxy::PromotionCall&,
--- a/tests/auto/exploration/simulatedgroup.h
+++ b/tests/auto/exploration/simulatedgroup.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -153,6 +154,14 @@
   {
     std::vector<proxy::MemberEntry> entries;
     for (const auto& [id, member] : mMembers) {
+      const auto returned = mReturnedEntries.find(id);
+      if (returned != mReturnedEntries.end() &&
+          mContext.mClock.Now() < returned->second.mRewrittenAt) {
+        if (returned->second.mEntry) {
+          entries.push_back(*returned->second.mEntry);
+        }
+        continue;
+      }
       if (mContext.mClock.Now() - member.mLastHeartbeat > kEntryLifetime) {
         continue;
       }
@@ -168,11 +177,13 @@
       entry.mStartedAtMs = member.mProcess;
       proxy::MemberEntry& listed = mListed[id];
       entry.mRevision = listed.mRevision;
+      entry.mSequence = listed.mSequence;
       // A member that can't reach the store can't rewrite its entry.
       const bool isWritten =
         member.mIsAlive && mContext.mNetwork.CanReach(id, kStoreName);
       if (isWritten && !(entry == listed)) {
         entry.mRevision = ++mRevision;
+        entry.mSequence = ++mReports[id];
         listed = entry;
       }
       if (listed.mRevision > 0) {
@@ -182,7 +193,33 @@
     return entries;
   }
 
+  /** Lists older entries until the members write theirs again, each at its next
+   * heartbeat. Members without an older entry are missing until then. */
+  void ReturnDirectory(const std::vector<proxy::MemberEntry>& aEntries,
+                       const std::function<Duration()>& aNextHeartbeat)
+  {
+    mRevision = 0;
+    mReturnedEntries.clear();
+    for (const auto& [id, member] : mMembers) {
+      ReturnedEntry& returned = mReturnedEntries[id];
+      returned.mRewrittenAt = mContext.mClock.Now() + aNextHeartbeat();
+      mListed[id] = {};
+    }
+    for (const proxy::MemberEntry& entry : aEntries) {
+      mReturnedEntries[entry.mId].mEntry = entry;
+      mListed[entry.mId] = entry;
+      mRevision = std::max(mRevision, entry.mRevision);
+    }
+  }
+
 private:
+  struct ReturnedEntry
+  {
+    /** Nothing if the member isn't listed. */
+    std::optional<proxy::MemberEntry> mEntry;
+    TimePoint mRewrittenAt;
+  };
+
   struct UnreceivedCommit
   {
     std::uint64_t mNumber = 0;
@@ -280,6 +317,10 @@
   std::size_t mPromotions = 0;
   std::vector<UnreceivedCommit> mUnreceived;
   std::map<std::string, proxy::MemberEntry> mListed;
+  /** Number of the last report of each member. */
+  std::map<std::string, std::uint64_t> mReports;
+  /** Entries of an older state of the store that has returned to it. */
+  std::map<std::string, ReturnedEntry> mReturnedEntries;
 };
 
 } // namespace papayaspindle::exploration
--- a/tests/auto/exploration/simulatedinstance.cpp
+++ b/tests/auto/exploration/simulatedinstance.cpp
@@ -8,27 +8,47 @@
   proxy::ConditionalWriterHooks hooks;
   hooks.mNow = [this] { return mContext.mClock.Now(); };
   hooks.mRead = [this](TimePoint, std::function<void(const proxy::ReadResult&)> aHook) {
-    mEnvironment.mRead(*this, proxy::kCoordinationTable, std::move(aHook));
+    ReadTable(proxy::kCoordinationTable, std::move(aHook));
   };
   hooks.mWrite = [this](const proxy::ConditionalWrite& aWrite,
                         std::function<void(const proxy::WriteResult&)> aHook) {
-    mEnvironment.mWrite(*this, aWrite, std::move(aHook));
+    WriteRow(aWrite, std::move(aHook));
   };
   return hooks;
 }
 
+void
+SimulatedInstance::ReadTable(std::string_view aTable,
+                             std::function<void(const proxy::ReadResult&)> aHook)
+{
+  const auto send = [this, aTable](StoreHook<proxy::ReadResult> aAnswerHook) {
+    mEnvironment.mRead(*this, aTable, std::move(aAnswerHook));
+  };
+  mAccess.Read(send, std::move(aHook));
+}
+
+void
+SimulatedInstance::WriteRow(const proxy::ConditionalWrite& aWrite,
+                            std::function<void(const proxy::WriteResult&)> aHook)
+{
+  const auto send = [this, &aWrite](StoreHook<proxy::WriteResult> aAnswerHook) {
+    mEnvironment.mWrite(*this, aWrite, std::move(aAnswerHook));
+  };
+  mAccess.Write(aWrite, send, std::move(aHook));
+}
+
 proxy::SharedStore
 SimulatedInstance::Store()
 {
   proxy::SharedStore store;
   store.mRead = [this](std::string_view aTable,
                        std::function<void(const proxy::ReadResult&)> aHook) {
-    mEnvironment.mRead(*this, aTable, std::move(aHook));
+    ReadTable(aTable, std::move(aHook));
   };
   store.mWrite = [this](const proxy::ConditionalWrite& aWrite,
                         std::function<void(const proxy::WriteResult&)> aHook) {
     if (aWrite.mRow.mTable == proxy::kInstanceTable) {
-      mEnvironment.mWrite(*this, aWrite, std::move(aHook));
+      WriteRow(aWrite, std::move(aHook));
     } else {
       mWriter.Write(aWrite, std::move(aHook));
     }
--- a/tests/auto/exploration/simulatedinstance.h
+++ b/tests/auto/exploration/simulatedinstance.h
@@ -48,6 +48,9 @@
     , mHomes(aSetup.mName, aSetup.mZone, aSetup.mHomesPerGroup)
     , mLeases(aSetup.mEnforcer,
               [this](std::string_view aGroup) { return SynchronousReplicas(aGroup); })
+    , mAccess(aContext,
+              aSetup.mName,
+              [this](std::uint64_t aIncarnation) { OnIncarnation(aIncarnation); })
     , mWriter(WriterHooks())
     , mMonitor(MonitorHooks())
     , mRegistry(
@@ -71,6 +74,7 @@
   [[nodiscard]] bool IsRunning() const { return mIsRunning; }
   [[nodiscard]] bool IsSuspended() const { return mIsSuspended; }
   [[nodiscard]] proxy::ProxyCore& Core() { return mCore; }
+  [[nodiscard]] const proxy::ProxyCore& Core() const { return mCore; }
   [[nodiscard]] const proxy::HomeTable& Homes() const { return mHomes; }
   /** Open connections as the environment sees them, by key. */
   [[nodiscard]] const std::map<proxy::ConnectionKey, std::string>& Connections() const
@@ -133,6 +137,9 @@
     }
   }
 
+  /** Learns the incarnation of rows that are fed. @return whether they may be used */
+  bool AcceptsFeedOf(std::uint64_t aIncarnation) { return mAccess.Observe(aIncarnation); }
+
   /** Handles rows of the coordination table.
    *
    * @param aAsOf when the rows were the newest ones */
@@ -149,6 +156,10 @@
     mListing.OnEntries(aEntries, now);
     mCore.OnDirectory(mListing.Listed(now), now);
   }
+  void OnConfiguration(const proxy::ProxyConfiguration& aConfiguration)
+  {
+    mCore.OnConfiguration(aConfiguration, mContext.mClock.Now());
+  }
   void OnStoreLost() { mListing.SetStoreReachable(false, mContext.mClock.Now()); }
 
   // Answers of other instances, as PlatformService handles them.
@@ -188,6 +199,22 @@
     return settings;
   }
 
+  void OnIncarnation(std::uint64_t aIncarnation)
+  {
+    const TimePoint now = mContext.mClock.Now();
+    mWriter.OnIncarnation(aIncarnation, now);
+    mListing.OnIncarnation(aIncarnation, now);
+    mRegistry.OnIncarnation(aIncarnation, now);
+    mPromotions.OnIncarnation(aIncarnation, now);
+    mContext.mJournal.Note(
+      mSetup.mName, fmt::format("learns incarnation {} of the store", aIncarnation));
+  }
+
+  void ReadTable(std::string_view aTable,
+                 std::function<void(const proxy::ReadResult&)> aHook);
+  void WriteRow(const proxy::ConditionalWrite& aWrite,
+                std::function<void(const proxy::WriteResult&)> aHook);
+
   void OnCoordinationRows(std::span<const proxy::StoredRow> aRows)
   {
     const TimePoint now = mContext.mClock.Now();
@@ -205,14 +232,13 @@
 
   void ReadCoordinationRows(TimePoint aSentAt)
   {
-    mEnvironment.mRead(
-      *this, proxy::kCoordinationTable, [this, aSentAt](const proxy::ReadResult& aRead) {
-        if (const auto* snapshot = std::get_if<proxy::TableSnapshot>(&aRead)) {
-          OnCoordinationRows(snapshot->mRows);
-          mLeases.OnStoreRead(aSentAt);
-          mCore.OnRoutesToMembersChanged(mContext.mClock.Now());
-        }
-      });
+    ReadTable(proxy::kCoordinationTable, [this, aSentAt](const proxy::ReadResult& aRead) {
+      if (const auto* snapshot = std::get_if<proxy::TableSnapshot>(&aRead)) {
+        OnCoordinationRows(snapshot->mRows);
+        mLeases.OnStoreRead(aSentAt);
+        mCore.OnRoutesToMembersChanged(mContext.mClock.Now());
+      }
+    });
   }
 
   [[nodiscard]] std::uint32_t SynchronousReplicas(std::string_view aGroup) const
@@ -266,6 +292,7 @@
   std::map<proxy::ConnectionKey, std::string> mConnections;
   proxy::HomeTable mHomes;
   proxy::LeaderLeases mLeases;
+  StoreAccess mAccess;
   proxy::ConditionalWriter mWriter;
   proxy::HomeMonitor mMonitor;
   proxy::MemberListing mListing;
--- a/tests/auto/exploration/tst_instanceexploration.cpp
+++ b/tests/auto/exploration/tst_instanceexploration.cpp
@@ -6,11 +6,10 @@
 // acknowledged (ONE), connections are counted correctly (COUNT), and after the faults all
 // groups serve (SERVED, PAUSED, UNANSWERED) and become idle again (IDLE).
 
-#include "exploration/faultplan.h"
+#include "exploration/explorationsequence.h"
 
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
 #include <iostream>
 
 using namespace papayaspindle;
@@ -22,50 +21,6 @@
 // The first seed is 1, or PAPAYASPINDLE_EXPLORATION_SEED.
 constexpr std::uint64_t kDefaultRuns = 72;
 
-constexpr Duration kStart = 3s;
-constexpr Duration kFaults = 10s;
-// Longest time from the end of all faults until each group serves writes through each
-// instance: a claim that waits for kFollowerProofLimit (8 s), the takeover of an
-// abandoned claim (2.5 s), the promotion, and the list of instances (9.6 s) that runs
-// beside them.
-constexpr Duration kRecovery = 16s;
-// Members notice lost connections after 3 s, and idle ones are closed after some tenths
-// of a second.
-constexpr Duration kRest = 6s;
-
-std::uint64_t
-NumberFromEnvironment(const char* aName, std::uint64_t aDefault)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-}
-
-/** Runs the phases of a sequence until a check fails. */
-void
-RunSequence(Exploration& aExploration)
-{
-  aExploration.Run(kStart);
-  FaultPlan faults(aExploration);
-  faults.StartRandomFaults();
-  const TimePoint end = aExploration.mContext.mClock.Now() + kFaults;
-  while (aExploration.mContext.mClock.Now() < end && !aExploration.HasViolation()) {
-    faults.InjectOne();
-    aExploration.Run(aExploration.mContext.mRandom.Between(50ms, 900ms));
-  }
-  faults.EndAll();
-  aExploration.mClients.mMayIdle = false;
-  aExploration.Run(kRecovery);
-  if (!aExploration.HasViolation()) {
-    aExploration.CheckService();
-  }
-  aExploration.mHasClients = false;
-  aExploration.mClients.CloseAll();
-  aExploration.Run(kRest);
-  if (!aExploration.HasViolation()) {
-    aExploration.CheckIdle();
-  }
-}
-
 } // namespace
 
 TEST_CASE("no sequence of faults breaks a promise of complete instances")
--- a/tests/auto/proxy/relaysimulation.h
+++ b/tests/auto/proxy/relaysimulation.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "proxy/samplerow.h"
 #include "proxy/tables/tablefollower.h"
 #include "proxy/tables/tablerelay.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,17 +15,7 @@
 
 using namespace std::chrono_literals;
 
-inline StoredRow
-Row(const std::string& aKey, std::uint64_t aRevision)
-{
-  StoredRow row;
-  row.mKey = aKey;
-  row.mValue = aKey + std::to_string(aRevision);
-  row.mRevision = aRevision;
-  return row;
-}
-
-/** Simulates a store with one table, two readers and a follower that queries them, on
+/** Simulates a store with one table, and instances that follow the table and relay it, on
  * simulated time. */
 class RelaySimulation
 {
@@ -40,12 +32,25 @@
     /** When each revision was received. */
     std::map<std::uint64_t, TimePoint> mReceivedAt;
     TimePoint mAsOf;
+    /** Newest incarnation of the store that the instance knows. */
+    std::uint64_t mIncarnation = 0;
+  };
+
+  /** Instances at the start. */
+  enum class Deployment : std::uint8_t
+  {
+    None,
+    /** Two readers, and a follower that queries them. */
+    OneZone,
   };
 
-  RelaySimulation()
+  explicit RelaySimulation(Deployment aDeployment = Deployment::OneZone)
   {
     mRows["config"] = Row("config", 1);
     mHistory[1] = mRows;
+    if (aDeployment == Deployment::None) {
+      return;
+    }
     for (const char* name : { "reader-1", "reader-2", "follower" }) {
       AddNode(name);
     }
@@ -57,6 +62,14 @@
     }
   }
 
+  /** Starts an instance. */
+  void StartInstance(const std::string& aName, const ReaderChoice& aChoice)
+  {
+    AddNode(aName);
+    mNodes[aName].mChoice = aChoice;
+    mNodes[aName].mNode.mFollower->SetActive(true, mNow);
+  }
+
   void Run(Duration aTime)
   {
     const TimePoint end = mNow + aTime;
@@ -76,10 +89,10 @@
     }
   }
 
-  void Write(const std::string& aKey)
+  void Write(const std::string& aKey, const std::string& aSuffix = {})
   {
     mRows[aKey] = Row(aKey, ++mRevision);
-    mRows[aKey].mIncarnation = mIncarnation;
+    mRows[aKey].mValue += aSuffix;
     mHistory[mRevision] = mRows;
     WakeFeeds();
   }
@@ -93,11 +106,11 @@
   }
 
   /** Returns the store to its state at a revision, from which it gives out revisions
-   * again.
-   */
-  void ReturnTo(std::uint64_t aRevision)
+   * again, and lets it reject all calls for a time. */
+  void ReturnTo(std::uint64_t aRevision, Duration aAway = {})
   {
     mIncarnation++;
+    mAwayUntil = mNow + aAway;
     mRevision = aRevision;
     mRows = mHistory.at(aRevision);
     mHistory.erase(mHistory.upper_bound(aRevision), mHistory.end());
@@ -109,6 +122,8 @@
   }
 
   Node& NodeOf(const std::string& aName) { return mNodes[aName].mNode; }
+  [[nodiscard]] const std::map<std::string, StoredRow>& Rows() const { return mRows; }
+  [[nodiscard]] bool IsAway() const { return mNow < mAwayUntil; }
 
   /** @return how long after its write the instance received a revision */
   Duration PropagationDelay(const std::string& aName,
@@ -162,14 +177,46 @@
     });
   }
 
-  /** @return a task that tells the follower the store's incarnation before an answer that
-   * has it */
-  std::function<void()> Learning(const std::string& aName, std::function<void()> aTask)
+  void LearnIncarnation(const std::string& aName, std::uint64_t aIncarnation)
   {
-    return [this, aName, incarnation = mIncarnation, task = std::move(aTask)] {
-      NodeOf(aName).mFollower->OnIncarnation(incarnation, mNow);
-      task();
-    };
+    Node& node = NodeOf(aName);
+    if (aIncarnation > node.mIncarnation) {
+      node.mIncarnation = aIncarnation;
+      node.mFollower->OnIncarnation(aIncarnation, mNow);
+    }
+  }
+
+  /** Delivers an answer of the store, which counts as lost if the instance knows a newer
+   * incarnation then. */
+  template<typename Result>
+  void DeliverAnswer(const std::string& aName,
+                     const std::function<void(const Result&)>& aHook,
+                     const std::type_identity_t<Result>& aResult)
+  {
+    Deliver(aName, 4ms, [this, aName, aHook, aResult, incarnation = mIncarnation] {
+      LearnIncarnation(aName, incarnation);
+      const bool isOfNewest = incarnation == NodeOf(aName).mIncarnation;
+      aHook(isOfNewest ? aResult : Result(StoreFailure::NoAnswer));
+    });
+  }
+
+  /** Lets a call fail if the store is out of reach or away. @return whether it fails */
+  template<typename Hook>
+  bool Fails(const std::string& aName, Duration aTimeout, const Hook& aHook)
+  {
+    const bool isReached = NodeOf(aName).mReachesStore;
+    if (isReached && !IsAway()) {
+      return false;
+    }
+    const auto failure = isReached ? StoreFailure::Refused : StoreFailure::NoAnswer;
+    Deliver(aName, isReached ? 4ms : aTimeout, [aHook, failure] { aHook(failure); });
+    return true;
+  }
+
+  [[nodiscard]] StoredRow Stamped(StoredRow aRow) const
+  {
+    aRow.mIncarnation = mIncarnation;
+    return aRow;
   }
 
   [[nodiscard]] std::uint64_t StoreTime() const
@@ -192,9 +239,7 @@
       return;
     }
     if (aFeed.mAfter > mRevision) {
-      Deliver(aFeed.mName, 4ms, Learning(aFeed.mName, [hook = aFeed.mHook] {
-                hook(HistoryLost());
-              }));
+      DeliverAnswer(aFeed.mName, aFeed.mHook, HistoryLost());
       return;
     }
     TableChanges changes;
@@ -203,17 +248,50 @@
     changes.mStoreTimeMs = StoreTime();
     for (const auto& [key, row] : mRows) {
       if (row.mRevision > aFeed.mAfter) {
-        changes.mRows.push_back({ row, false });
+        changes.mRows.push_back({ Stamped(row), false });
       }
     }
     for (const auto& [key, revision] : mRemoved) {
       if (revision > aFeed.mAfter && !mRows.contains(key)) {
-        changes.mRows.push_back({ Row(key, revision), true });
+        changes.mRows.push_back({ Stamped(Row(key, revision)), true });
       }
     }
-    Deliver(aFeed.mName, 4ms, Learning(aFeed.mName, [hook = aFeed.mHook, changes] {
-              hook(changes);
-            }));
+    DeliverAnswer(aFeed.mName, aFeed.mHook, changes);
+  }
+
+  void FeedStore(const std::string& aName,
+                 std::uint64_t aAfter,
+                 Duration aWait,
+                 const std::function<void(const FeedResult&)>& aHook)
+  {
+    NodeOf(aName).mStoreCalls++;
+    const std::uint64_t key = ++mNextFeed;
+    if (Fails(aName, aWait + 800ms, aHook)) {
+      return;
+    }
+    const auto isAnswered = std::make_shared<bool>(false);
+    const Feed feed{ aName, aAfter, [isAnswered, aHook](const FeedResult& aResult) {
+                      *isAnswered = true;
+                      aHook(aResult);
+                    } };
+    if (aAfter != mRevision) {
+      AnswerFeed(feed);
+      return;
+    }
+    mFeeds[key] = feed;
+    Schedule(aWait, [this, key] {
+      const auto found = mFeeds.find(key);
+      if (found != mFeeds.end()) {
+        AnswerFeed(found->second);
+        mFeeds.erase(key);
+      }
+    });
+    // The call fails if the network path was cut in the meantime.
+    Schedule(aWait + 800ms, [this, aName, isAnswered, aHook] {
+      if (!*isAnswered) {
+        Deliver(aName, {}, [aHook] { aHook(StoreFailure::NoAnswer); });
+      }
+    });
   }
 
   FollowerHooks Hooks(const std::string& aName)
@@ -221,8 +299,7 @@
     FollowerHooks hooks;
     hooks.mRead = [this, aName](TimePoint, std::function<void(const ReadResult&)> aHook) {
       NodeOf(aName).mStoreCalls++;
-      if (!NodeOf(aName).mReachesStore) {
-        Deliver(aName, 900ms, [aHook] { aHook(StoreFailure::NoAnswer); });
+      if (Fails(aName, 900ms, aHook)) {
         return;
       }
       TableSnapshot snapshot;
@@ -230,39 +307,15 @@
       snapshot.mStoreTimeMs = StoreTime();
       snapshot.mIncarnation = mIncarnation;
       for (const auto& [key, row] : mRows) {
-        snapshot.mRows.push_back(row);
+        snapshot.mRows.push_back(Stamped(row));
       }
-      Deliver(aName, 4ms, Learning(aName, [aHook, snapshot] { aHook(snapshot); }));
+      DeliverAnswer(aName, aHook, snapshot);
     };
     hooks.mFeed = [this, aName](std::uint64_t aAfter,
                                 Duration aWait,
                                 TimePoint,
                                 std::function<void(const FeedResult&)> aHook) {
-      NodeOf(aName).mStoreCalls++;
-      const std::uint64_t key = ++mNextFeed;
-      if (!NodeOf(aName).mReachesStore) {
-        Deliver(aName, aWait + 800ms, [aHook] { aHook(StoreFailure::NoAnswer); });
-        return;
-      }
-      const Feed feed{ aName, aAfter, aHook };
-      if (aAfter != mRevision) {
-        AnswerFeed(feed);
-        return;
-      }
-      mFeeds[key] = feed;
-      Schedule(aWait, [this, key] {
-        const auto found = mFeeds.find(key);
-        if (found != mFeeds.end()) {
-          AnswerFeed(found->second);
-          mFeeds.erase(key);
-        }
-      });
-      // The call fails if the network path was cut in the meantime.
-      Schedule(aWait + 800ms, [this, aName, aHook] {
-        if (!NodeOf(aName).mReachesStore) {
-          Deliver(aName, {}, [aHook] { aHook(StoreFailure::NoAnswer); });
-        }
-      });
+      FeedStore(aName, aAfter, aWait, aHook);
     };
     hooks.mQueryReader =
       [this, aName](const std::string& aReader,
@@ -296,9 +349,8 @@
       NodeOf(aName).mContactChanges.push_back(aIsInContact);
       NodeOf(aName).mRelay->OnTableChanged("op", mNow);
     };
-    hooks.mOnIncarnation = [this, aName](std::uint64_t aIncarnation) {
-      NodeOf(aName).mFollower->OnIncarnation(aIncarnation, mNow);
-    };
+    hooks.mOnIncarnation =
+      std::bind_front(&RelaySimulation::LearnIncarnation, this, aName);
     hooks.mNow = [this] { return mNow; };
     return hooks;
   }
@@ -321,9 +373,7 @@
     node.mRelay = std::make_unique<TableRelay>(TableRelayHooks{
       [this](RelayKey aKey, const RelayAnswer& aAnswer) { Answer(aKey, aAnswer); },
       [] { return std::size_t{ 0 }; },
-      [this, aName](std::uint64_t aIncarnation) {
-        NodeOf(aName).mFollower->OnIncarnation(aIncarnation, mNow);
-      } });
+      std::bind_front(&RelaySimulation::LearnIncarnation, this, aName) });
     node.mRelay->AddTable(
       "op",
       { [this, aName]() -> const TableCopy& { return NodeOf(aName).mFollower->Copy(); },
@@ -342,6 +392,7 @@
            std::pair<std::string, std::function<void(const std::optional<RelayAnswer>&)>>>
     mOpenRequests;
   RelayKey mNextRequest = 0;
+  TimePoint mAwayUntil;
   std::multimap<TimePoint, std::function<void()>> mScheduledTasks;
 };
 
