--- a/src/libs/proxy/memberlisting.cpp
+++ b/src/libs/proxy/memberlisting.cpp
@@ -77,13 +77,15 @@
     return aEntry;
   }
   const MemberEntry& known = found->second.mEntry;
-  if (IsEarlierReport(aEntry, known)) {
+  const bool isEarlier = IsEarlierReport(aEntry, known);
+  if (isEarlier && known.mDraining && !aEntry.mDraining) {
     return known;
   }
-  // The clock of a machine may be set back between two starts, so that the order of
-  // starts is relied on only until the members have written again.
+  // A member writes only what differs from the entry, and the clock of a machine may be
+  // set back between two starts: otherwise the order of reports is relied on only until
+  // the members have written again.
   const TimePoint rewrittenAt = mReturnedAt.value_or(TimePoint()) + kReappearanceTime;
-  if (IsOfEarlierStart(aEntry, known) && aNow < rewrittenAt) {
+  if ((isEarlier || IsOfEarlierStart(aEntry, known)) && aNow < rewrittenAt) {
     mHeldBack[aEntry.mId] = { aEntry, rewrittenAt };
     return known;
   }
--- a/src/libs/proxy/tables/tablefollower.cpp
+++ b/src/libs/proxy/tables/tablefollower.cpp
@@ -51,6 +51,10 @@
 TableFollower::SetActive(bool aIsActive, TimePoint aNow)
 {
   mIsActive = aIsActive;
+  if (mIsActive && mCopy.Incarnation() != mIncarnation) {
+    // A call of an earlier incarnation may still wait for changes.
+    mIncarnationCheckAt = aNow;
+  }
   if (mIsActive && !mIsBusy) {
     mHasHistory = false;
     Continue(aNow);
--- a/tests/auto/proxy/tst_memberlisting.cpp
+++ b/tests/auto/proxy/tst_memberlisting.cpp
@@ -189,6 +189,20 @@
   REQUIRE(fixture.Listed()[0] == entry);
 }
 
+// Guards against a role that is kept for good: the member's last report before the return
+// is lost, and what it reports afterwards is what the store shows already.
+TEST_CASE("an entry of an earlier report counts once members have had time to write")
+{
+  ListingFixture fixture;
+  fixture.Read({ Primary(Entry(5)) });
+  fixture.Read({ Entry(9) });
+  fixture.mListing.OnIncarnation(4, fixture.mNow);
+  fixture.Read({ Primary(Entry(5, 4)) });
+  REQUIRE(fixture.Listed()[0] == Entry(9));
+  fixture.Advance(2300ms);
+  REQUIRE(fixture.Listed()[0] == Primary(Entry(5, 4)));
+}
+
 // Guards against any change where the store announces no incarnation: reports aren't
 // compared, and a missing entry is removed.
 TEST_CASE("without an incarnation, each entry replaces the one before")
