--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -29,7 +29,9 @@
   for (const auto& [key, seen] : mRows) {
     if (const auto group = GroupOfReplicaRoster(key)) {
       std::string& before = mPromotions[std::string(*group)].mEarlierRoster;
-      before += (before.empty() ? "" : " ") + seen.mRow.mValue;
+      if (before.find(seen.mRow.mValue) == std::string::npos) {
+        before += (before.empty() ? "" : " ") + seen.mRow.mValue;
+      }
     }
   }
   mRows.clear();
--- a/src/libs/proxy/leadership/storerecovery.cpp
+++ b/src/libs/proxy/leadership/storerecovery.cpp
@@ -30,12 +30,29 @@
   return std::string(aPhase) + " " + std::to_string(aIncarnation);
 }
 
-/** @return whether a row is newer than another one of the same group; the states of a
- * claim are in their order */
+/** @return order of the states that rows with the same token pass through */
+int
+ProgressOf(LeadershipState aState)
+{
+  switch (aState) {
+    case LeadershipState::Claimed:
+      return 0;
+    case LeadershipState::Calling:
+      return 1;
+    case LeadershipState::Settled:
+    case LeadershipState::Reserved:
+      // A reservation becomes settled when members are resumed.
+      return 2;
+  }
+  return 0;
+}
+
+/** @return whether a row is newer than another one of the same group */
 bool
 IsNewer(const LeadershipRow& aRow, const LeadershipRow& aOther)
 {
-  return std::pair(aRow.mToken, aRow.mState) > std::pair(aOther.mToken, aOther.mState);
+  return std::pair(aRow.mToken, ProgressOf(aRow.mState)) >
+         std::pair(aOther.mToken, ProgressOf(aOther.mState));
 }
 
 } // namespace
