--- a/tests/auto/exploration/simulatedinstance.cpp
+++ b/tests/auto/exploration/simulatedinstance.cpp
@@ -50,7 +50,13 @@
     if (aWrite.mRow.mTable == proxy::kInstanceTable) {
       WriteRow(aWrite, std::move(aHook));
     } else {
-      mWriter.Write(aWrite, std::move(aHook));
+      mWriter.Write(aWrite,
+                    [this, row = aWrite.mRow, aHook](const proxy::WriteResult& aResult) {
+                      if (const auto* written = std::get_if<proxy::Written>(&aResult)) {
+                        mRecovery.OnWritten(row, *written);
+                      }
+                      aHook(aResult);
+                    });
     }
   };
   store.mPromote = [this](const proxy::PromotionCall& aCall,
@@ -90,6 +96,20 @@
   return hooks;
 }
 
+proxy::StoreRecoveryHooks
+SimulatedInstance::RecoveryHooks()
+{
+  proxy::StoreRecoveryHooks hooks;
+  hooks.mGroups = [this] { return HomeGroups(); };
+  hooks.mWrite = [this](const proxy::ConditionalWrite& aWrite,
+                        std::function<void(const proxy::WriteResult&)> aHook) {
+    mWriter.Write(aWrite, std::move(aHook));
+  };
+  hooks.mNow = [this] { return mContext.mClock.Now(); };
+  hooks.mLog = LogHook();
+  return hooks;
+}
+
 proxy::PromotionHooks
 SimulatedInstance::CoordinatorHooks()
 {
--- a/tests/auto/exploration/simulatedinstance.h
+++ b/tests/auto/exploration/simulatedinstance.h
@@ -10,6 +10,7 @@
 #include "proxy/leadership/leaderleases.h"
 #include "proxy/leadership/leasekeeper.h"
 #include "proxy/leadership/promotioncoordinator.h"
+#include "proxy/leadership/storerecovery.h"
 #include "proxy/memberlisting.h"
 #include "proxy/proxycore.h"
 
@@ -62,6 +63,7 @@
           mKeeper.OnGroupsChanged();
           mCore.OnRoutesToMembersChanged(mContext.mClock.Now());
         })
+    , mRecovery(aSetup.mName, RecoveryHooks())
     , mPromotions(aSetup.mName, aSetup.mEnforcer, Store(), CoordinatorHooks())
     , mKeeper(aSetup.mZone, mLeases, KeeperHooks())
     , mCore(Settings(aSetup), CoreHooks())
@@ -125,6 +127,9 @@
     if (mKeeper.NextTimer() <= now) {
       mKeeper.OnTimer(now);
     }
+    if (mRecovery.NextTimer() <= now) {
+      mRecovery.OnTimer(now);
+    }
     if (mPromotions.NextTimer() <= now) {
       mPromotions.OnTimer(now);
     }
@@ -145,8 +150,9 @@
    * @param aAsOf when the rows were the newest ones */
   void OnRowsFed(std::span<const proxy::StoredRow> aRows, TimePoint aAsOf)
   {
-    OnCoordinationRows(aRows);
-    mLeases.OnStoreContact(aAsOf);
+    if (OnCoordinationRows(aRows)) {
+      mLeases.OnStoreContact(aAsOf);
+    }
   }
 
   void OnMembers(std::span<const proxy::MemberEntry> aEntries)
@@ -205,6 +211,7 @@
     mWriter.OnIncarnation(aIncarnation, now);
     mListing.OnIncarnation(aIncarnation, now);
     mRegistry.OnIncarnation(aIncarnation, now);
+    mRecovery.OnIncarnation(aIncarnation);
     mPromotions.OnIncarnation(aIncarnation, now);
     mContext.mJournal.Note(
       mSetup.mName, fmt::format("learns incarnation {} of the store", aIncarnation));
@@ -215,9 +222,13 @@
   void WriteRow(const proxy::ConditionalWrite& aWrite,
                 std::function<void(const proxy::WriteResult&)> aHook);
 
-  void OnCoordinationRows(std::span<const proxy::StoredRow> aRows)
+  /** @return whether the rows may be used */
+  bool OnCoordinationRows(std::span<const proxy::StoredRow> aRows)
   {
     const TimePoint now = mContext.mClock.Now();
+    if (!mRecovery.OnRows(aRows, now)) {
+      return false;
+    }
     mLeases.OnRows(aRows);
     mPromotions.OnRows(aRows, now);
     const std::vector<std::string> groups = mCore.GroupNames();
@@ -228,15 +239,17 @@
     if (areLeasesNeeded) {
       mCore.OnRoutesToMembersChanged(now);
     }
+    return true;
   }
 
   void ReadCoordinationRows(TimePoint aSentAt)
   {
     ReadTable(proxy::kCoordinationTable, [this, aSentAt](const proxy::ReadResult& aRead) {
       if (const auto* snapshot = std::get_if<proxy::TableSnapshot>(&aRead)) {
-        OnCoordinationRows(snapshot->mRows);
-        mLeases.OnStoreRead(aSentAt);
-        mCore.OnRoutesToMembersChanged(mContext.mClock.Now());
+        if (OnCoordinationRows(snapshot->mRows)) {
+          mLeases.OnStoreRead(aSentAt);
+          mCore.OnRoutesToMembersChanged(mContext.mClock.Now());
+        }
       }
     });
   }
@@ -269,6 +282,7 @@
   proxy::SharedStore Store();
   proxy::HomeMonitorHooks MonitorHooks();
   proxy::LeaseKeeperHooks KeeperHooks();
+  proxy::StoreRecoveryHooks RecoveryHooks();
   proxy::PromotionHooks CoordinatorHooks();
   std::function<void(std::string_view,
                      const proxy::MemberCommand&,
@@ -297,6 +311,7 @@
   proxy::HomeMonitor mMonitor;
   proxy::MemberListing mListing;
   proxy::InstanceRegistry mRegistry;
+  proxy::StoreRecovery mRecovery;
   proxy::PromotionCoordinator mPromotions;
   proxy::LeaseKeeper mKeeper;
   proxy::ProxyCore mCore;
