Take tokens by the revision of the replaced row, and explore returns of the store

A write of an earlier incarnation that was executed after a return, on a revision that was given out again, replaced a row with tokens in use. The next claim followed that row and took the first tokens of the incarnation a second time.

Tokens are incarnation * 2^32 + 8 * r + n, where r is the revision of the row that the claim replaces. Within an incarnation each claim replaces a higher revision, so no two claims share a token whatever rows they find. Without incarnations tokens are as before.

--- a/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_claims.cpp
@@ -154,9 +154,18 @@
 std::uint64_t
 PromotionCoordinator::NewestToken(const std::string& aGroup) const
 {
-  // The store may have lost the rows with the newest tokens of earlier incarnations.
   const auto row = LeadershipOf(aGroup);
-  return std::max(row ? row->mToken : 0, FirstTokenBound(mIncarnation));
+  const std::uint64_t newest = row ? row->mToken : 0;
+  const SeenRow* seen = FindRow(LeadershipKey(aGroup));
+  if (mIncarnation == 0) {
+    return newest;
+  }
+  // The store may have lost the rows with the newest tokens of earlier incarnations, and
+  // a late write of an earlier one may have replaced a row of this one. Within an
+  // incarnation, each claim replaces a row of a higher revision.
+  const std::uint64_t revision =
+    std::min(VersionOf(seen).mRevision, kMaxTokenRevision) * kTokensPerRevision;
+  return std::max(newest, FirstTokenBound(mIncarnation) + revision);
 }
 
 bool
--- a/src/libs/proxy/leadership/promotiontimes.h
+++ b/src/libs/proxy/leadership/promotiontimes.h
@@ -54,6 +54,12 @@
 /** Number of tokens that a claim reserves beyond the one it uses, for promotions while
  * the store is unavailable. */
 constexpr std::uint64_t kReservedTokens = 4;
+/** Distance between the first tokens of claims that replace rows of successive revisions;
+ * a claim takes up to kReservedTokens + 1. */
+constexpr std::uint64_t kTokensPerRevision = 8;
+/** Revisions up to which the tokens of an incarnation follow the revision; they stay
+ * below the tokens of the next one. */
+constexpr std::uint64_t kMaxTokenRevision = std::uint64_t{ 1 } << 28U;
 /** Delay of a reservation after the last change of the leadership row. */
 constexpr Duration kReservationDelay = 3s;
 /** Limit of an additional delay of reservations, which differs between instances so that
--- a/tests/auto/proxy/tst_promotionexploration.cpp
+++ b/tests/auto/proxy/tst_promotionexploration.cpp
@@ -51,6 +51,18 @@
   }
 }
 
+void
+RequireTokensInOrder(const StoreSimulation& aSimulation)
+{
+  REQUIRE(aSimulation.mViolations.empty());
+  REQUIRE(aSimulation.mIsPrimaryAlive);
+  std::uint64_t newest = 0;
+  for (const auto& accepted : aSimulation.mAcceptedCalls) {
+    REQUIRE(accepted.mCall.mToken >= newest);
+    newest = accepted.mCall.mToken;
+  }
+}
+
 } // namespace
 
 TEST_CASE(
@@ -68,13 +80,35 @@
     }
     EndFaults(simulation);
     simulation.Run(12s);
-    REQUIRE(simulation.mViolations.empty());
-    REQUIRE(simulation.mIsPrimaryAlive);
-    std::uint64_t newest = 0;
-    for (const auto& accepted : simulation.mAcceptedCalls) {
-      REQUIRE(accepted.mCall.mToken >= newest);
-      newest = accepted.mCall.mToken;
+    RequireTokensInOrder(simulation);
+  }
+}
+
+// Guards against claims that take tokens which the store has lost.
+TEST_CASE("returns of the store to an older state give no token two holders")
+{
+  for (std::uint64_t seed = 1; seed <= Runs(); seed++) {
+    INFO("seed " << seed);
+    StoreSimulation simulation(4, seed);
+    simulation.mIncarnation = 1;
+    simulation.mLostAnswerShare = 0.3;
+    simulation.mLateEffectShare = 0.5;
+    for (int step = 0; step < kSteps; step++) {
+      InjectFaults(simulation);
+      if (simulation.Chance() < 0.3) {
+        const auto ageMs = static_cast<int>(simulation.Chance() * 10000);
+        simulation.ReturnTo(
+          simulation.CopyAt(simulation.mNow - std::chrono::milliseconds(ageMs)));
+      }
+      if (simulation.Chance() < 0.1) {
+        simulation.Restart("instance-1");
+      }
+      simulation.Run(
+        std::chrono::milliseconds(100 + static_cast<int>(simulation.Chance() * 1500)));
     }
+    EndFaults(simulation);
+    simulation.Run(12s);
+    RequireTokensInOrder(simulation);
   }
 }
 
