--- a/src/libs/proxy/tables/tablefollower.cpp
+++ b/src/libs/proxy/tables/tablefollower.cpp
@@ -15,28 +15,12 @@
 constexpr Duration kMaxBackoffWithReaders = 1500ms;
 // Below the maximum number of changed rows in one answer of the store.
 constexpr std::size_t kCompleteChangesLimit = 400;
-// A configuration has to be in force within 5 s where there are readers. An unresponsive
-// reader and a second one can both be queried within that time.
-constexpr Duration kRelayedChangeWait = 1500ms;
 // Maximum wait of a reader's own feed, which limits the age of its answers.
 constexpr Duration kReaderFeedWait = 2s;
-// Timeout of a request to a reader beyond its wait for a change; instances of the same
-// zone answer within milliseconds.
-constexpr Duration kRelayReplyMargin = 400ms;
-// Above the wait of a reader's own feed: an older answer comes from a reader that has
-// lost the store.
-constexpr Duration kMaxRelayedAge = 3500ms;
-// Time until a failed reader is queried again.
-constexpr Duration kFailedReaderExclusion = 4s;
-// Time until a reader that has refused is queried again; it may not have read the table
-// yet or have just lost the store.
-constexpr Duration kRefusingReaderExclusion = 500ms;
 // Interval of the checks whether the list of instances is known.
 constexpr Duration kReaderDiscoveryInterval = 250ms;
 // Interval of the probes of the store while substitutes are queried.
 constexpr Duration kProbeInterval = 1s;
-// Time after the end of a feed's wait within which the store answers.
-constexpr Duration kFeedAnswerMargin = 500ms;
 
 } // namespace
 
@@ -119,19 +103,6 @@
   }
 }
 
-std::optional<std::string>
-TableFollower::FirstAvailable(const std::vector<std::string>& aInstances,
-                              TimePoint aNow) const
-{
-  for (const std::string& instance : aInstances) {
-    const auto excluded = mExcludedReaders.find(instance);
-    if (excluded == mExcludedReaders.end() || excluded->second <= aNow) {
-      return instance;
-    }
-  }
-  return std::nullopt;
-}
-
 void
 TableFollower::Continue(TimePoint aNow)
 {
@@ -170,29 +141,6 @@
   }
 }
 
-void
-TableFollower::QueryReader(const std::string& aReader, TimePoint aNow)
-{
-  // The first request, and the first one after a failure or a change of source, must be
-  // answered without waiting for a change.
-  const Duration wait =
-    mHasHistory && !mIsReadFromStore && mIsInContact ? kRelayedChangeWait : 0ms;
-  mIsWaiting = wait > Duration();
-  RelayRequest request{ mTable, mCopy.Revision(), wait };
-  request.mIncarnation = mIncarnation;
-  request.mSinceIncarnation = mCopy.Incarnation();
-  mHooks.mQueryReader(
-    aReader,
-    request,
-    wait + kRelayReplyMargin,
-    aNow,
-    [this, aReader, aNow, call = ++mCall](const std::optional<RelayAnswer>& aAnswer) {
-      if (call == mCall) {
-        OnRelayed(aReader, aAnswer, aNow);
-      }
-    });
-}
-
 void
 TableFollower::Read(TimePoint aNow)
 {
@@ -235,12 +183,6 @@
                   mHooks.mEarliestLocalTime(aStoreTimeMs, aSentAt).value_or(aSentAt));
 }
 
-Duration
-TableFollower::MaxRelayedAge() const
-{
-  return std::max<Duration>(kMaxRelayedAge, mWait + kFeedAnswerMargin);
-}
-
 void
 TableFollower::ApplySnapshot(const TableSnapshot& aSnapshot)
 {
@@ -320,48 +262,6 @@
   OnSuccess(isComplete ? AsOf(changes.mStoreTimeMs, aSentAt) : mAsOf);
 }
 
-void
-TableFollower::OnRelayed(const std::string& aReader,
-                         const std::optional<RelayAnswer>& aAnswer,
-                         TimePoint aSentAt)
-{
-  const TimePoint now = mHooks.mNow();
-  // The reader sent its answer no earlier than the request was sent plus the time for
-  // which it held the request.
-  const TimePoint asOf =
-    aAnswer ? aSentAt + aAnswer->mHoldTime - aAnswer->mAge : TimePoint();
-  const bool isUsable =
-    aAnswer && !aAnswer->mIsRefused && aAnswer->mIncarnation >= mIncarnation &&
-    aAnswer->Version() >= mCopy.Version() &&
-    (aAnswer->mIsFull || aAnswer->mIncarnation == mCopy.Incarnation()) &&
-    now - asOf < MaxRelayedAge();
-  if (!isUsable) {
-    const bool isRefused = aAnswer && aAnswer->mIsRefused;
-    mExcludedReaders[aReader] =
-      now + (isRefused ? kRefusingReaderExclusion : kFailedReaderExclusion);
-    // Another reader or the store is queried without delay.
-    Continue(now);
-    return;
-  }
-  if (aAnswer->mIncarnation > mIncarnation && mHooks.mOnIncarnation) {
-    mHooks.mOnIncarnation(aAnswer->mIncarnation);
-  }
-  RestoreContact();
-  const std::vector<std::string>& readers = mHooks.mReaders().mReaders;
-  const bool isReader =
-    std::find(readers.begin(), readers.end(), aReader) != readers.end();
-  // A probe may have reached the store while a substitute held the request.
-  mIsReadFromStore = mIsReadFromStore && !mIsStoreLost && !isReader;
-  mHasHistory = true;
-  if (mIsStoreLost && !mIsProbing && mProbeAt == TimePoint::max()) {
-    mProbeAt = std::max(now, mStoreRetryAt);
-  }
-  if (mCopy.ApplyAnswer(*aAnswer)) {
-    mHooks.mOnRowsChanged(mCopy.Rows());
-  }
-  OnSuccess(asOf);
-}
-
 void
 TableFollower::OnHistoryLost()
 {
