--- a/cmake/papayaspindle_targets.cmake
+++ b/cmake/papayaspindle_targets.cmake
@@ -7,7 +7,9 @@
     target_compile_options(${target} PRIVATE -Werror)
   endif()
   if(PAPAYASPINDLE_SANITIZE)
-    target_compile_options(${target} PUBLIC -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=all)
+    # Without optimisation, the explorations take several times as long. Assertions stay enabled.
+    target_compile_options(${target} PUBLIC -O1 -fsanitize=address,undefined -fno-omit-frame-pointer
+      -fno-sanitize-recover=all)
     target_link_options(${target} PUBLIC -fsanitize=address,undefined)
   endif()
 endfunction()
@@ -32,15 +34,22 @@
   papayaspindle_compile_options(${name})
 endfunction()
 
-# Adds one Catch2 program with one ctest entry:
-# papayaspindle_add_test(NAME SOURCES tst_a.cpp ... LIBRARIES lib ...)
+# Adds one Catch2 program:
+# papayaspindle_add_test(NAME [PARALLEL_CASES] SOURCES tst_a.cpp ... LIBRARIES lib ...)
+# The program is one ctest entry; with PARALLEL_CASES, each of its test cases is one, so that ctest runs the
+# cases of a long test in parallel.
 # The timeout only ends a test that hangs. It is far longer than a test needs on a loaded machine.
 function(papayaspindle_add_test name)
-  cmake_parse_arguments(arg "" "" "SOURCES;LIBRARIES" ${ARGN})
+  cmake_parse_arguments(arg "PARALLEL_CASES" "" "SOURCES;LIBRARIES" ${ARGN})
   add_executable(${name} ${arg_SOURCES})
   target_link_libraries(${name} PRIVATE ${arg_LIBRARIES} Catch2::Catch2WithMain fmt::fmt Threads::Threads)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/auto)
   papayaspindle_compile_options(${name})
-  add_test(NAME ${name} COMMAND ${name})
-  set_tests_properties(${name} PROPERTIES TIMEOUT 1200)
+  if(arg_PARALLEL_CASES)
+    # ctest starts the tests of the highest cost first.
+    catch_discover_tests(${name} TEST_PREFIX "${name}: " PROPERTIES TIMEOUT 1200 COST 10)
+  else()
+    add_test(NAME ${name} COMMAND ${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 1200)
+  endif()
 endfunction()
