Return a borrowed connection when the member refuses a further one

The return of the store has no part in it: another home had borrowed two connections to the primary beyond its share, its callers used them all the time, so that none was idle for 250 ms, and the home that was entitled to them was refused 287 times, every 100 ms. The member accepts 8; the homes had 2, 0, 2 and 4.

A refusal beyond the share shows that the member is full. It now also returns one borrowed connection, as soon as one is idle; the borrower pauses for a second as before, in which the entitled home opens it.

--- a/src/libs/proxy/connections/memberpool.cpp
+++ b/src/libs/proxy/connections/memberpool.cpp
@@ -64,6 +64,8 @@
   }
   if (Count() > aShare.mBase) {
     mBorrowAfter = aNow + kBorrowPause;
+    // The refused connection is still counted.
+    mIsReturnDue = Count() - 1 > aShare.mBase;
   } else {
     // The instance is entitled to this connection: the instance that borrowed the
     // connection returns it soon.
@@ -183,7 +185,7 @@
 std::vector<ConnectionKey>
 MemberPool::Surplus(const std::optional<PoolShare>& aShare,
                     bool aIsDraining,
-                    TimePoint aNow) const
+                    TimePoint aNow)
 {
   std::vector<ConnectionKey> surplus;
   std::uint32_t connections = Count();
@@ -192,7 +194,9 @@
     const bool isSurplus =
       aShare && connections > aShare->Retained() && unused > kSurplusIdleTimeout;
     const bool isLeaving = aIsDraining && unused > kDrainingIdleTimeout;
-    if (!aShare || isSurplus || isLeaving) {
+    const bool isReturned = aShare && mIsReturnDue && connections > aShare->mBase;
+    if (!aShare || isSurplus || isLeaving || isReturned) {
+      mIsReturnDue = false;
       surplus.push_back(key);
       connections--;
     }
--- a/src/libs/proxy/connections/memberpool.h
+++ b/src/libs/proxy/connections/memberpool.h
@@ -74,7 +74,9 @@
   void OnOpening(ConnectionKey aKey, std::string_view aCustomer);
   /** Handles that the member has accepted the connection, which is not idle yet. */
   void OnReady(ConnectionKey aKey);
-  /** Removes a connection that the member has refused, and delays the next one. */
+  /** Removes a connection that the member has refused, and delays the next one. If this
+   * instance has borrowed connections, it returns one: the refusal may concern instances
+   * that are entitled to it as well. */
   void OnRefused(ConnectionKey aKey, const PoolShare& aShare, TimePoint aNow);
   /** Delays the next opening after one that has failed; the connection stays in the pool
    * until it is removed. */
@@ -106,7 +108,7 @@
    */
   [[nodiscard]] std::vector<ConnectionKey> Surplus(const std::optional<PoolShare>& aShare,
                                                    bool aIsDraining,
-                                                   TimePoint aNow) const;
+                                                   TimePoint aNow);
 
   // Openings
 
@@ -163,6 +165,8 @@
   Duration mOpenBackoff{};
   /** Earliest time at which a connection beyond the base share may be opened. */
   TimePoint mBorrowAfter;
+  /** The next idle connection beyond the base share is closed. */
+  bool mIsReturnDue = false;
 };
 
 } // namespace papayaspindle::proxy
--- a/tests/auto/proxy/tst_memberpool.cpp
+++ b/tests/auto/proxy/tst_memberpool.cpp
@@ -246,6 +246,26 @@
   REQUIRE(pool.PlanOpening(request, kNow + 500ms).mStep == ConnectionStep::Open);
 }
 
+// Guards against an instance that gets no connection at all while another one uses its
+// borrowed connections all the time.
+TEST_CASE("each refusal beyond the share returns one borrowed connection")
+{
+  const std::uint32_t connections = GENERATE(4U, 6U);
+  MemberPool pool;
+  Keys keys;
+  for (std::uint32_t key = 1; key <= connections; key++) {
+    keys.push_back(key);
+  }
+  AddIdle(pool, keys);
+  REQUIRE(pool.Surplus(kShare, false, kNow).empty());
+  pool.OnOpening(9, {});
+  pool.OnRefused(9, kShare, kNow);
+  // The share itself is kept.
+  REQUIRE(pool.Surplus(kShare, false, kNow) == (connections > 4 ? Keys{ 1 } : Keys{}));
+  pool.Remove(1);
+  REQUIRE(pool.Surplus(kShare, false, kNow).empty());
+}
+
 // Guards against unused connections that block other instances, and against a pool that
 // is emptied while this instance serves the member.
 TEST_CASE("unused connections beyond the retained share are closed")
