Use remembered leadership rows in place of older stored ones, and know their age after a recovery

One group whose stored row was older than the remembered one held up the rows of all groups of its home until it was written again: neither claims nor reads that grant leases. Such a row is now replaced by the remembered one wherever the rows are used (StoreRecovery::NewestRows), so whether rows are usable depends on the recovery alone.

Rows that were first passed on after a recovery counted as new, so a primary that failed then was replaced up to 2.5 s later than usual. The recovery knows since when it has received them (ReceivedAt).

Earlier rosters are kept as a set of rows.

--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -28,10 +28,7 @@
   mIncarnation = aIncarnation;
   for (const auto& [key, seen] : mRows) {
     if (const auto group = GroupOfReplicaRoster(key)) {
-      std::string& before = mPromotions[std::string(*group)].mEarlierRoster;
-      if (before.find(seen.mRow.mValue) == std::string::npos) {
-        before += (before.empty() ? "" : " ") + seen.mRow.mValue;
-      }
+      mPromotions[std::string(*group)].mEarlierRosters.insert(seen.mRow.mValue);
     }
   }
   mRows.clear();
@@ -56,7 +53,7 @@
     promotion.mEndsPauses = false;
     promotion.mPauseCheck = PauseCheck();
     promotion.mRosterWriteAt = {};
-    promotion.mEarlierRosterUntil = aNow + kDepartedMemberRetention;
+    promotion.mEarlierRostersUntil = aNow + kDepartedMemberRetention;
     promotion.mReservationAt.reset();
     // The rows no longer have this instance's report.
     promotion.mReportedAt = {};
@@ -66,7 +63,10 @@
 }
 
 void
-PromotionCoordinator::OnRows(std::span<const StoredRow> aRows, TimePoint aNow)
+PromotionCoordinator::OnRows(
+  std::span<const StoredRow> aRows,
+  TimePoint aNow,
+  const std::function<TimePoint(std::string_view aKey)>& aReceivedAt)
 {
   for (const StoredRow& row : aRows) {
     OnIncarnation(row.mIncarnation, aNow);
@@ -82,7 +82,10 @@
       // written just before.
       const auto group = GroupOfLeadership(row.mKey);
       const bool mayBeYoung = group && NeedsTransfer(std::string(*group));
-      seen.mSeenAt = mHasRows || mayBeYoung ? aNow : TimePoint();
+      const bool isFirst = !mHasRows && mayBeYoung && aReceivedAt;
+      seen.mSeenAt = isFirst                  ? aReceivedAt(row.mKey)
+                     : mHasRows || mayBeYoung ? aNow
+                                              : TimePoint();
       seen.mRow = row;
     }
   }
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -82,8 +82,12 @@
                        SharedStore aStore,
                        PromotionHooks aHooks);
 
-  /** Updates the coordinator with the current rows of the whole coordination table. */
-  void OnRows(std::span<const StoredRow> aRows, TimePoint aNow);
+  /** Updates the coordinator with the current rows of the whole coordination table.
+   * @param aReceivedAt tells since when this instance has known a row of the first call
+   * after a return of the store; if it is empty, since now */
+  void OnRows(std::span<const StoredRow> aRows,
+              TimePoint aNow,
+              const std::function<TimePoint(std::string_view aKey)>& aReceivedAt = {});
   /**
    * Handles a return of the store to an older state. Ends all attempts and discards all
    * tokens and rows of the earlier incarnation: the store may have lost what has granted
@@ -146,10 +150,10 @@
     ReplicaRoster mRoster;
     /** Earliest time of the next write of the roster's row. */
     TimePoint mRosterWriteAt;
-    /** Members in the row of the roster before the store's last return to an older state,
-     * which may have lost some of them. */
-    std::string mEarlierRoster;
-    TimePoint mEarlierRosterUntil;
+    /** Rows of the roster before the store's last returns to older states, which may have
+     * lost some of their members. */
+    std::set<std::string> mEarlierRosters;
+    TimePoint mEarlierRostersUntil;
     PauseCheck mPauseCheck;
     /** The replaced primary is asked whether it leads. */
     bool mIsConfirmingLeader = false;
--- a/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_pauses.cpp
@@ -26,11 +26,14 @@
   const std::string key = ReplicaRosterKey(aGroup);
   const SeenRow* seen = FindRow(key);
   const std::string stored = seen == nullptr ? std::string() : seen->mRow.mValue;
-  if (aNow >= aPromotion.mEarlierRosterUntil) {
-    aPromotion.mEarlierRoster.clear();
+  if (aNow >= aPromotion.mEarlierRostersUntil) {
+    aPromotion.mEarlierRosters.clear();
   }
-  aPromotion.mRoster.Update(
-    mHooks.mMembers(aGroup), stored + " " + aPromotion.mEarlierRoster, aNow);
+  std::string known = stored;
+  for (const std::string& earlier : aPromotion.mEarlierRosters) {
+    known += " " + earlier;
+  }
+  aPromotion.mRoster.Update(mHooks.mMembers(aGroup), known, aNow);
   if (aPromotion.mRoster.StoredValue() == stored || aNow < aPromotion.mRosterWriteAt) {
     return;
   }
--- a/src/libs/proxy/leadership/storerecovery.cpp
+++ b/src/libs/proxy/leadership/storerecovery.cpp
@@ -70,29 +70,62 @@
     return;
   }
   mIncarnation = aIncarnation;
+  mReturnedAt = mHooks.mNow();
+  mHasWarned = false;
   mPhase = Phase::Unknown;
   mHasRows = false;
   mStored.clear();
   mPlanned.clear();
   mRestoredRows = 0;
-  mNextCheck = TimePoint::max();
+  mNextCheck = mReturnedAt + kIdleInterval;
 }
 
 bool
 StoreRecovery::AreRowsUsable() const
 {
+  return mIncarnation == 0 || mPhase == Phase::Settled;
+}
+
+std::vector<StoredRow>
+StoreRecovery::NewestRows(std::span<const StoredRow> aRows) const
+{
+  std::vector<StoredRow> rows(aRows.begin(), aRows.end());
   if (mIncarnation == 0) {
-    return true;
+    return rows;
   }
-  if (mPhase != Phase::Settled) {
-    return false;
+  for (StoredRow& row : rows) {
+    const auto remembered = mRemembered.find(row.mKey);
+    const auto stored = DecodeLeadership(row.mValue);
+    if (remembered != mRemembered.end() && stored &&
+        IsNewer(remembered->second, *stored)) {
+      row.mValue = Encode(remembered->second);
+    }
   }
-  // An instance that missed the recovery, or whose row was replaced by a write of an
-  // earlier incarnation, doesn't go back to an older leader.
-  const std::vector<std::string> groups = mHooks.mGroups();
-  return std::none_of(groups.begin(), groups.end(), [this](const std::string& aGroup) {
-    return IsStoredRowOlder(aGroup);
-  });
+  for (const auto& [key, remembered] : mRemembered) {
+    if (!IsStored(key)) {
+      // A write of the row expects that there is none.
+      StoredRow row;
+      row.mTable = kCoordinationTable;
+      row.mKey = key;
+      row.mValue = Encode(remembered);
+      row.mIncarnation = mIncarnation;
+      rows.push_back(std::move(row));
+    }
+  }
+  return rows;
+}
+
+TimePoint
+StoreRecovery::ReceivedAt(std::string_view aKey) const
+{
+  const auto found = mStored.find(aKey);
+  return found == mStored.end() ? TimePoint() : found->second.mReceivedAt;
+}
+
+Duration
+StoreRecovery::UnsettledFor(TimePoint aNow) const
+{
+  return AreRowsUsable() || mHooks.mGroups().empty() ? Duration() : aNow - mReturnedAt;
 }
 
 bool
@@ -110,12 +143,12 @@
     if (!isRecovery && !GroupOfLeadership(row.mKey)) {
       continue;
     }
-    StoredRow& stored = mStored[row.mKey];
+    ReceivedRow& stored = mStored[row.mKey];
     // A feed and a read can deliver the same change in either order.
-    if (row.Version() <= stored.Version()) {
+    if (row.Version() <= stored.mRow.Version()) {
       continue;
     }
-    stored = row;
+    stored = { row, aNow };
     if (isRecovery) {
       UpdatePhase(row, aNow);
     } else {
@@ -168,15 +201,22 @@
     return;
   }
   Remember(aRow);
-  StoredRow& stored = mStored[aRow.mKey];
+  ReceivedRow& stored = mStored[aRow.mKey];
   const StoreRevision version{ aResult.mIncarnation, aResult.mRevision };
-  if (aResult.mIncarnation == mIncarnation && version > stored.Version()) {
-    stored = aRow;
-    stored.mRevision = version.mRevision;
-    stored.mIncarnation = version.mIncarnation;
+  if (aResult.mIncarnation == mIncarnation && version > stored.mRow.Version()) {
+    stored = { aRow, mHooks.mNow() };
+    stored.mRow.mRevision = version.mRevision;
+    stored.mRow.mIncarnation = version.mIncarnation;
   }
 }
 
+bool
+StoreRecovery::IsStored(const std::string& aKey) const
+{
+  const auto stored = mStored.find(aKey);
+  return stored != mStored.end() && stored->second.mRow.mRevision > 0;
+}
+
 bool
 StoreRecovery::IsStoredRowOlder(const std::string& aGroup) const
 {
@@ -185,14 +225,28 @@
   if (remembered == mRemembered.end()) {
     return false;
   }
-  const auto stored = mStored.find(key);
-  if (stored == mStored.end() || stored->second.mRevision == 0) {
+  if (!IsStored(key)) {
     return true;
   }
-  const auto row = DecodeLeadership(stored->second.mValue);
+  const auto row = DecodeLeadership(mStored.at(key).mRow.mValue);
   return row && IsNewer(remembered->second, *row);
 }
 
+void
+StoreRecovery::CheckProgress(TimePoint aNow)
+{
+  if (mHasWarned || UnsettledFor(aNow) < kRecoveryWarningTime) {
+    return;
+  }
+  mHasWarned = true;
+  const auto waited = UnsettledFor(aNow) / std::chrono::milliseconds(1);
+  mHooks.mLog(LogLevel::Warning,
+              "recovery_unsettled",
+              { { "incarnation", std::to_string(mIncarnation) },
+                { "phase", mPhase == Phase::Open ? "open" : "unknown" },
+                { "since_ms", std::to_string(waited) } });
+}
+
 void
 StoreRecovery::OnTimer(TimePoint aNow)
 {
@@ -200,10 +254,14 @@
     return;
   }
   mNextCheck = TimePoint::max();
+  if (mIncarnation == 0) {
+    return;
+  }
   const std::vector<std::string> groups = mHooks.mGroups();
-  if (mIncarnation == 0 || !mHasRows || groups.empty()) {
+  CheckProgress(aNow);
+  if (!mHasRows || groups.empty()) {
     // Instances that are home of no group neither use nor remember the rows.
-    mNextCheck = mIncarnation == 0 || !mHasRows ? mNextCheck : aNow + kIdleInterval;
+    mNextCheck = aNow + kIdleInterval;
     return;
   }
   const std::string recovery(kRecoveryKey);
@@ -250,7 +308,7 @@
   row.mTable = kCoordinationTable;
   row.mKey = aKey;
   row.mValue = aValue;
-  row.mRevision = stored == mStored.end() ? 0 : stored->second.mRevision;
+  row.mRevision = stored == mStored.end() ? 0 : stored->second.mRow.mRevision;
   row.mIncarnation = mIncarnation;
   mHooks.mWrite({ row }, [this, aKey, row](const WriteResult& aResult) {
     const auto planned = mPlanned.find(aKey);
--- a/tests/auto/proxy/storesimulation.h
+++ b/tests/auto/proxy/storesimulation.h
@@ -139,6 +139,16 @@
     DeliverRows();
   }
 
+  /** Replaces the value of a stored row, whatever its revision. */
+  void Replace(const std::string& aKey, const std::string& aValue)
+  {
+    StoredRow& row = mRows.at(aKey);
+    row.mValue = aValue;
+    row.mRevision = ++mRevision;
+    RecordState();
+    DeliverRows();
+  }
+
   double Chance() { return std::uniform_real_distribution<double>(0, 1)(mRandom); }
 
   TimePoint mNow{ std::chrono::hours(1) };
--- a/tests/auto/proxy/tst_leaderleases.cpp
+++ b/tests/auto/proxy/tst_leaderleases.cpp
@@ -141,6 +141,26 @@
   REQUIRE_FALSE(leases.HoldsLease("group", "p", kStart + 1ms));
 }
 
+// Guards against an instance that goes on using a leader whose successor is named by a
+// row of lower revision, because the store has returned to an older state (review case
+// 11).
+TEST_CASE("a row of a newer incarnation replaces one of a higher revision")
+{
+  LeaderLeases leases = FreshLeases();
+  const auto row =
+    [](std::uint64_t aIncarnation, std::uint64_t aRevision, const std::string& aLeader) {
+      StoredRow stored = Row(aRevision, LeadershipState::Settled, aLeader);
+      stored.mIncarnation = aIncarnation;
+      return std::vector{ stored };
+    };
+  leases.OnRows(row(3, 9, "p"));
+  leases.OnRows(row(4, 7, "r1"));
+  REQUIRE_FALSE(leases.HoldsLease("group", "p", kStart + 1ms));
+  REQUIRE(leases.HoldsLease("group", "r1", kStart + 1ms));
+  leases.OnRows(row(3, 10, "p"));
+  REQUIRE(leases.HoldsLease("group", "r1", kStart + 1ms));
+}
+
 TEST_CASE("followers renew a lease for a limited time while the store is unavailable")
 {
   // With one synchronous replica, a claim has to pause every follower before it can
--- a/tests/auto/proxy/tst_storereturn.cpp
+++ b/tests/auto/proxy/tst_storereturn.cpp
@@ -129,6 +129,45 @@
   }
 }
 
+// Guards against a home that keeps the rows of an earlier state until a call ends that
+// waits for changes, because the return came while the follower wasn't needed.
+TEST_CASE("a follower that is needed again leaves an earlier incarnation at once")
+{
+  std::size_t reads = 0;
+  TimePoint now{ std::chrono::hours(1) };
+  const ReaderChoice choice{ true, false, {}, {} };
+  FollowerHooks hooks;
+  hooks.mRead = [&](TimePoint, const std::function<void(const ReadResult&)>& aHook) {
+    reads++;
+    TableSnapshot snapshot{ { Row("config", 10) }, 10, 0 };
+    snapshot.mIncarnation = reads == 1 ? 4 : 5;
+    aHook(snapshot);
+  };
+  // No feed is answered.
+  hooks.mFeed = [](std::uint64_t,
+                   Duration,
+                   TimePoint,
+                   const std::function<void(const FeedResult&)>&) {};
+  hooks.mReaders = [&]() -> const ReaderChoice& { return choice; };
+  hooks.mOnRowsChanged = [](const TableRows&) {};
+  hooks.mEarliestLocalTime = [](std::uint64_t, TimePoint) { return std::nullopt; };
+  hooks.mOnContactChanged = [](bool) {};
+  hooks.mNow = [&] { return now; };
+  TableFollower follower("op", 4500ms, hooks);
+  follower.OnIncarnation(4, now);
+  follower.SetActive(true, now);
+  REQUIRE(follower.Copy().Incarnation() == 4);
+  follower.SetActive(false, now);
+  follower.OnIncarnation(5, now);
+  now += 10ms;
+  follower.OnTimer(now);
+  REQUIRE(reads == 1);
+  follower.SetActive(true, now);
+  now += 10ms;
+  follower.OnTimer(now);
+  REQUIRE(follower.Copy().Incarnation() == 5);
+}
+
 // Guards against a store that drops its history all the time: reads and feeds by turns
 // would exceed its rates.
 TEST_CASE("a follower pauses between reads while the store has no history")
