Pause before a claim that found no replica is written again

tst_leadershipexploration, "a claim that finds no replica to promote is repeated after a pause", fails without it.

--- a/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator_transfer.cpp
@@ -137,6 +137,8 @@
   if (!hasCandidate) {
     mHooks.mLog(LogLevel::Warning, "no_replica_to_promote", { { "group", aGroup } });
     Abandon(aPromotion, kAbandonBackoff, aNow);
+    // RecoverAbandonedClaim doesn't wait for the next claim of this instance.
+    aPromotion.mRowRetryAt = aPromotion.mClaimAfter;
     return;
   }
   aPromotion.mPhase = Phase::Choosing;
