--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -63,10 +63,9 @@
 }
 
 void
-PromotionCoordinator::OnRows(
-  std::span<const StoredRow> aRows,
-  TimePoint aNow,
-  const std::function<TimePoint(std::string_view aKey)>& aReceivedAt)
+PromotionCoordinator::OnRows(std::span<const StoredRow> aRows,
+                             TimePoint aNow,
+                             const ReceivedAtHook& aReceivedAt)
 {
   for (const StoredRow& row : aRows) {
     OnIncarnation(row.mIncarnation, aNow);
@@ -77,15 +76,15 @@
     }
     SeenRow& seen = mRows[row.mKey];
     if (seen.mRow.Version() != row.Version()) {
-      // The age of rows from the first read is unknown. Where a claim relies on pauses, a
-      // leadership row from the first read is treated as new, because it may have been
-      // written just before.
+      seen.mSeenAt = aNow;
       const auto group = GroupOfLeadership(row.mKey);
-      const bool mayBeYoung = group && NeedsTransfer(std::string(*group));
-      const bool isFirst = !mHasRows && mayBeYoung && aReceivedAt;
-      seen.mSeenAt = isFirst                  ? aReceivedAt(row.mKey)
-                     : mHasRows || mayBeYoung ? aNow
-                                              : TimePoint();
+      if (!mHasRows && group && NeedsTransfer(std::string(*group))) {
+        // Where a claim relies on pauses, a leadership row of unknown age is treated as
+        // new, because it may have been written just before.
+        seen.mSeenAt = aReceivedAt ? aReceivedAt(row.mKey).value_or(aNow) : seen.mSeenAt;
+      } else if (!mHasRows) {
+        seen.mSeenAt = {};
+      }
       seen.mRow = row;
     }
   }
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -82,12 +82,15 @@
                        SharedStore aStore,
                        PromotionHooks aHooks);
 
+  /** Tells when a row was received in its present version; nothing if it is unknown. */
+  using ReceivedAtHook = std::function<std::optional<TimePoint>(std::string_view aKey)>;
+
   /** Updates the coordinator with the current rows of the whole coordination table.
-   * @param aReceivedAt tells since when this instance has known a row of the first call
-   * after a return of the store; if it is empty, since now */
+   * @param aReceivedAt used for the first rows after the start or a return of the store;
+   * may be empty, and rows of an unknown age count as new then */
   void OnRows(std::span<const StoredRow> aRows,
               TimePoint aNow,
-              const std::function<TimePoint(std::string_view aKey)>& aReceivedAt = {});
+              const ReceivedAtHook& aReceivedAt = {});
   /**
    * Handles a return of the store to an older state. Ends all attempts and discards all
    * tokens and rows of the earlier incarnation: the store may have lost what has granted
--- a/src/libs/proxy/leadership/storerecovery.cpp
+++ b/src/libs/proxy/leadership/storerecovery.cpp
@@ -115,11 +115,11 @@
   return rows;
 }
 
-TimePoint
+std::optional<TimePoint>
 StoreRecovery::ReceivedAt(std::string_view aKey) const
 {
   const auto found = mStored.find(aKey);
-  return found == mStored.end() ? TimePoint() : found->second.mReceivedAt;
+  return found == mStored.end() ? std::nullopt : std::optional(found->second.mReceivedAt);
 }
 
 Duration
--- a/src/libs/proxy/leadership/storerecovery.h
+++ b/src/libs/proxy/leadership/storerecovery.h
@@ -74,8 +74,8 @@
    * @param aRows rows that were passed to OnRows */
   [[nodiscard]] std::vector<StoredRow> NewestRows(std::span<const StoredRow> aRows) const;
   /** @return when a row of the present incarnation was first received in its present
-   * version; the epoch if it is unknown */
-  [[nodiscard]] TimePoint ReceivedAt(std::string_view aKey) const;
+   * version; nothing if the store has no such row */
+  [[nodiscard]] std::optional<TimePoint> ReceivedAt(std::string_view aKey) const;
   /** @return time since this instance has learned of the present incarnation if it is a
    * home and the recovery isn't settled, otherwise zero */
   [[nodiscard]] Duration UnsettledFor(TimePoint aNow) const;
