--- a/src/libs/proxy/leadership/coordinationrows.h
+++ b/src/libs/proxy/leadership/coordinationrows.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "core/timetypes.h"
+
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +53,9 @@
   bool mIsAlive = false;
 };
 
+/** Tells when a row was received in its present version; nothing if it is unknown. */
+using ReceivedAtHook = std::function<std::optional<TimePoint>(std::string_view aKey)>;
+
 /** @return key of a group's leadership row */
 std::string LeadershipKey(std::string_view aGroup);
 /** @return key of an instance's suspicion report on a group's primary */
--- a/src/libs/proxy/leadership/promotioncoordinator.cpp
+++ b/src/libs/proxy/leadership/promotioncoordinator.cpp
@@ -81,7 +81,7 @@
       if (!mHasRows && group && NeedsTransfer(std::string(*group))) {
         // Where a claim relies on pauses, a leadership row of unknown age is treated as
         // new, because it may have been written just before.
-        seen.mSeenAt = aReceivedAt ? aReceivedAt(row.mKey).value_or(aNow) : seen.mSeenAt;
+        seen.mSeenAt = aReceivedAt ? aReceivedAt(row.mKey).value_or(aNow) : aNow;
       } else if (!mHasRows) {
         seen.mSeenAt = {};
       }
--- a/src/libs/proxy/leadership/promotioncoordinator.h
+++ b/src/libs/proxy/leadership/promotioncoordinator.h
@@ -82,12 +82,9 @@
                        SharedStore aStore,
                        PromotionHooks aHooks);
 
-  /** Tells when a row was received in its present version; nothing if it is unknown. */
-  using ReceivedAtHook = std::function<std::optional<TimePoint>(std::string_view aKey)>;
-
   /** Updates the coordinator with the current rows of the whole coordination table.
-   * @param aReceivedAt used for the first rows after the start or a return of the store;
-   * may be empty, and rows of an unknown age count as new then */
+   * @param aReceivedAt used for the first rows after the start or a return of the store
+   */
   void OnRows(std::span<const StoredRow> aRows,
               TimePoint aNow,
               const ReceivedAtHook& aReceivedAt = {});
@@ -153,8 +150,7 @@
     ReplicaRoster mRoster;
     /** Earliest time of the next write of the roster's row. */
     TimePoint mRosterWriteAt;
-    /** Rows of the roster before the store's last returns to older states, which may have
-     * lost some of their members. */
+    /** Rows of the roster before returns of the store, which may have lost members. */
     std::set<std::string> mEarlierRosters;
     TimePoint mEarlierRostersUntil;
     PauseCheck mPauseCheck;
--- a/src/libs/proxy/tables/fallbackreader.cpp
+++ b/src/libs/proxy/tables/fallbackreader.cpp
@@ -47,31 +47,31 @@
   RelayRequest request;
   request.mTable = mTable;
   request.mNeedsRead = true;
-  request.mIncarnation = mHooks.mIncarnation ? mHooks.mIncarnation() : 0;
-  mHooks.mQueryReader(
-    substitute,
-    request,
-    kSubstituteTimeout,
-    sentAt,
-    [this, substitutes = std::move(aSubstitutes), sentAt, aHook](
-      const std::optional<RelayAnswer>& aAnswer) {
-      const std::uint64_t incarnation = mHooks.mIncarnation ? mHooks.mIncarnation() : 0;
-      if (!aAnswer || aAnswer->mIsRefused || !aAnswer->mIsRead ||
-          aAnswer->mIncarnation < incarnation) {
-        QuerySubstitute(substitutes, aHook);
-        return;
-      }
-      if (aAnswer->mIncarnation > incarnation && mHooks.mOnIncarnation) {
-        mHooks.mOnIncarnation(aAnswer->mIncarnation);
-      }
-      TableSnapshot snapshot;
-      snapshot.mRevision = aAnswer->mRevision;
-      snapshot.mIncarnation = aAnswer->mIncarnation;
-      for (const ChangedRow& change : aAnswer->mRows) {
-        snapshot.mRows.push_back(change.mRow);
-      }
-      aHook(snapshot, sentAt, false);
-    });
+  request.mIncarnation = mHooks.mIncarnation();
+  mHooks.mQueryReader(substitute,
+                      request,
+                      kSubstituteTimeout,
+                      sentAt,
+                      [this, substitutes = std::move(aSubstitutes), sentAt, aHook](
+                        const std::optional<RelayAnswer>& aAnswer) {
+                        const std::uint64_t incarnation = mHooks.mIncarnation();
+                        if (!aAnswer || aAnswer->mIsRefused || !aAnswer->mIsRead ||
+                            aAnswer->mIncarnation < incarnation) {
+                          QuerySubstitute(substitutes, aHook);
+                          return;
+                        }
+                        if (aAnswer->mIncarnation > incarnation &&
+                            mHooks.mOnIncarnation) {
+                          mHooks.mOnIncarnation(aAnswer->mIncarnation);
+                        }
+                        TableSnapshot snapshot;
+                        snapshot.mRevision = aAnswer->mRevision;
+                        snapshot.mIncarnation = aAnswer->mIncarnation;
+                        for (const ChangedRow& change : aAnswer->mRows) {
+                          snapshot.mRows.push_back(change.mRow);
+                        }
+                        aHook(snapshot, sentAt, false);
+                      });
 }
 
 } // namespace papayaspindle::proxy
--- a/src/libs/proxy/tables/fallbackreader.h
+++ b/src/libs/proxy/tables/fallbackreader.h
@@ -21,8 +21,8 @@
   std::function<std::vector<std::string>()> mSubstitutes;
   /** @return whether the last call of this instance to the store has failed */
   std::function<bool()> mIsStoreLost;
-  /** @return newest known incarnation of the store. May be empty. */
-  std::function<std::uint64_t()> mIncarnation;
+  /** @return newest known incarnation of the store; 0 if it announces none */
+  std::function<std::uint64_t()> mIncarnation = [] { return 0; };
   /** Called when a substitute knows a newer incarnation of the store. May be empty. */
   std::function<void(std::uint64_t aIncarnation)> mOnIncarnation;
   std::function<TimePoint()> mNow;
--- a/src/libs/proxy/tables/snapshotreader.cpp
+++ b/src/libs/proxy/tables/snapshotreader.cpp
@@ -41,7 +41,7 @@
   const std::string reader = aReaders.front();
   aReaders.erase(aReaders.begin());
   RelayRequest request{ mTable, mCopy.Revision(), {} };
-  request.mIncarnation = mHooks.mIncarnation ? mHooks.mIncarnation() : 0;
+  request.mIncarnation = mHooks.mIncarnation();
   request.mSinceIncarnation = mCopy.Incarnation();
   mHooks.mQueryReader(
     reader,
@@ -49,7 +49,7 @@
     kQueryTimeout,
     aNow,
     [this, aReaders, aNow, aHook](const std::optional<RelayAnswer>& aAnswer) {
-      const std::uint64_t incarnation = mHooks.mIncarnation ? mHooks.mIncarnation() : 0;
+      const std::uint64_t incarnation = mHooks.mIncarnation();
       const bool isUsable =
         aAnswer && !aAnswer->mIsRefused && aAnswer->mIncarnation >= incarnation &&
         aAnswer->Version() >= mCopy.Version() && aAnswer->mAge < kMaxAnswerAge;
--- a/src/libs/proxy/tables/snapshotreader.h
+++ b/src/libs/proxy/tables/snapshotreader.h
@@ -20,8 +20,8 @@
   /** @return the readers to query, the preferred one first; empty if this instance reads
    * the store itself */
   std::function<std::vector<std::string>()> mReaders;
-  /** @return newest known incarnation of the store. May be empty. */
-  std::function<std::uint64_t()> mIncarnation;
+  /** @return newest known incarnation of the store; 0 if it announces none */
+  std::function<std::uint64_t()> mIncarnation = [] { return 0; };
   /** Called when a reader knows a newer incarnation of the store. May be empty. */
   std::function<void(std::uint64_t aIncarnation)> mOnIncarnation;
 };
